--- /dev/null
+++ b/cmd/lentilstand/status.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/lentilstand/lentilstand/internal/entry"
+	"github.com/lentilstand/lentilstand/internal/prefs"
+)
+
+// statusTimeout bounds the wait for an entry's status.
+const statusTimeout = 3 * time.Second
+
+// statusCommand shows the entries' view of members, versions and endpoints.
+type statusCommand struct {
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"the operators' settings in JSON with comments"`
+	JSON     bool   `arg:"--json" help:"print JSON"`
+}
+
+func (c *statusCommand) run(ctx context.Context, out, errs io.Writer) int {
+	settings, err := prefs.LoadOperator(c.Settings)
+	if err != nil {
+		return badSettings(errs, err)
+	}
+	code := exitOK
+	var best *entry.Status
+	for _, address := range settings.Entries() {
+		status, err := fetchStatus(ctx, address)
+		if err != nil {
+			fmt.Fprintf(errs, "the entry at %s gives no status: %v\n", address, err)
+			code = exitFailed
+			continue
+		}
+		if c.JSON {
+			encoded, _ := json.Marshal(status)
+			fmt.Fprintln(out, string(encoded))
+		} else {
+			fmt.Fprintf(out, "entry %s in %s: version %d, %s, read %d ms ago, %d active%s\n", status.Name, status.DataCentre,
+				status.Version, status.Standing, status.AgeMS, status.Active, pendingNote(status))
+		}
+		if best == nil || status.Version > best.Version {
+			best = status
+		}
+	}
+	if best == nil {
+		return exitFailed
+	}
+	if !c.JSON {
+		printStatus(out, best)
+	}
+	return code
+}
+
+func fetchStatus(ctx context.Context, address string) (*entry.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	var status entry.Status
+	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+		return nil, err
+	}
+	return &status, nil
+}
+
+func pendingNote(status *entry.Status) string {
+	if status.Pending == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", version %d staged", status.Pending)
+}
+
+// printStatus prints the members and endpoints as the entry with the newest
+// version sees them.
+func printStatus(out io.Writer, status *entry.Status) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "\nMEMBER\tDATA CENTRE\tADDRESS\tVERSION\tNOTES\n")
+	for _, m := range status.Members {
+		var notes []string
+		if m.Behind {
+			notes = append(notes, "behind")
+		}
+		if m.Leaving {
+			notes = append(notes, "leaving")
+		}
+		if !m.Voter {
+			notes = append(notes, "no vote yet")
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\n", m.Name, m.DataCentre, m.Address, m.Version, strings.Join(notes, ", "))
+	}
+	fmt.Fprintf(table, "\nENDPOINT\tSERVICE\tDATA CENTRE\tBUSY\tCAPACITY\tVERSION\tNOTES\n")
+	for _, e := range status.Endpoints {
+		note := ""
+		switch {
+		case !e.Connected:
+			note = "not connected"
+		case !e.Usable:
+			note = "takes no requests"
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", e.Name, e.Service, e.DataCentre, e.Busy, e.Capacity, e.Version, note)
+	}
+	_ = table.Flush()
+}
--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,401 @@
+// Package bench runs stand-ins, agents and entries in one process over loopback
+// with real sockets, for the demonstration, the measures and tests. It has no
+// code of its own for what it runs: each part is the one that the separate
+// processes run.
+package bench
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/lentilstand/lentilstand/internal/agent"
+	"github.com/lentilstand/lentilstand/internal/entry"
+	"github.com/lentilstand/lentilstand/internal/kvhttp"
+	"github.com/lentilstand/lentilstand/internal/prefs"
+	"github.com/lentilstand/lentilstand/internal/stand"
+	"github.com/lentilstand/lentilstand/pkg/chain"
+	"github.com/lentilstand/lentilstand/pkg/config"
+)
+
+// Replica is one endpoint to run.
+type Replica struct {
+	Name       string
+	DataCentre string
+	Engine     stand.EngineSpec
+	Plain      stand.PlainSpec
+}
+
+// Service is one service to run.
+type Service struct {
+	Name       string
+	Kind       config.Kind
+	PathPrefix string
+	Repeatable bool
+	Replicas   []Replica
+	// Extra is more JSON fields of the service's configuration, such as
+	// `"queue": {"max_wait_ms": 500}`.
+	Extra string
+}
+
+// Node is one entry to run.
+type Node struct {
+	Name       string
+	DataCentre string
+}
+
+// Spec tells what a Bench runs.
+type Spec struct {
+	Region      string
+	DataCentres []string
+	Services    []Service
+	Entries     []Node
+	Teams       []string
+	Logger      *zap.Logger
+	AddressTTL  time.Duration
+	HostLag     time.Duration
+}
+
+// Key returns the API key that a bench gives to a team.
+func Key(team string) string { return "key-of-" + team }
+
+// Bench is a running set of parts. Use Start.
+type Bench struct {
+	spec    Spec
+	servers []*http.Server
+	kv      *stand.KVServer
+	kvCore  *stand.KV
+	kvAddr  string
+	hosts   *stand.Hosts
+	engines map[string]*stand.Engine
+	plains  map[string]*stand.Plain
+	agents  map[string]*agent.Agent
+	entries map[string]*entry.Entry
+	client  *http.Client
+	objects []json.RawMessage
+}
+
+// Start runs everything in spec and waits until the entries take requests. The
+// caller must Close the bench.
+func Start(ctx context.Context, spec Spec) (*Bench, error) {
+	if spec.Logger == nil {
+		spec.Logger = zap.NewNop()
+	}
+	b := &Bench{
+		spec:    spec,
+		kvCore:  stand.NewKV(),
+		engines: make(map[string]*stand.Engine),
+		plains:  make(map[string]*stand.Plain),
+		agents:  make(map[string]*agent.Agent),
+		entries: make(map[string]*entry.Entry),
+		client:  &http.Client{},
+	}
+	if err := b.start(ctx); err != nil {
+		b.Close()
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *Bench) start(ctx context.Context) error {
+	b.kv = stand.NewKVServer(b.kvCore)
+	b.hosts = stand.NewHosts(b.spec.HostLag)
+	var err error
+	if b.kvAddr, err = b.listen(b.kv); err != nil {
+		return err
+	}
+	hostAddr, err := b.listen(b.hosts)
+	if err != nil {
+		return err
+	}
+	for _, service := range b.spec.Services {
+		if err := b.startService(service); err != nil {
+			return err
+		}
+	}
+	if err := b.begin(ctx); err != nil {
+		return err
+	}
+	for _, node := range b.spec.Entries {
+		if err := b.startEntry(node, hostAddr); err != nil {
+			return err
+		}
+	}
+	return b.WaitReady(ctx)
+}
+
+// listen serves a stand-in on a free port.
+func (b *Bench) listen(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "can't listen")
+	}
+	server := &http.Server{Handler: handler, ErrorLog: discard()}
+	b.servers = append(b.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+func (b *Bench) startService(service Service) error {
+	for _, replica := range service.Replicas {
+		var handler http.Handler
+		capacity := replica.Plain.Capacity
+		if service.Kind == config.KindModel {
+			engine := stand.NewEngine(replica.Engine)
+			b.engines[replica.Name] = engine
+			handler = engine
+			capacity = replica.Engine.Capacity
+		} else {
+			plain := stand.NewPlain(replica.Plain)
+			b.plains[replica.Name] = plain
+			handler = plain
+		}
+		address, err := b.listen(handler)
+		if err != nil {
+			return err
+		}
+		if err := b.startAgent(service, replica, address, capacity); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *Bench) startAgent(service Service, replica Replica, endpoint string, capacity int) error {
+	text := fmt.Sprintf(`{"name": %q, "service": %q, "kind": %q, "listen": "127.0.0.1:0", "admin_listen": "127.0.0.1:0", "endpoint": %q, "capacity": %d}`,
+		replica.Name, service.Name, service.Kind, endpoint, capacity)
+	settings, err := prefs.ParseAgent(replica.Name, []byte(text))
+	if err != nil {
+		return err
+	}
+	a, err := agent.New(settings, b.spec.Logger.With(zap.String("role", "agent"), zap.String("name", replica.Name)))
+	if err != nil {
+		return err
+	}
+	if err := a.Start(); err != nil {
+		return err
+	}
+	b.agents[replica.Name] = a
+	object := fmt.Sprintf(`{"name": %q, "service": %q, "data_centre": %q, "address": %q, "host": %q}`,
+		replica.Name, service.Name, replica.DataCentre, a.Address(), "host-"+replica.Name)
+	b.objects = append(b.objects, json.RawMessage(object))
+	return nil
+}
+
+// begin writes the first version of the configuration.
+func (b *Bench) begin(ctx context.Context) error {
+	cfg, err := config.Parse("bench", b.firstConfig())
+	if err != nil {
+		return err
+	}
+	client := kvhttp.NewClient(b.kvAddr, "bench")
+	defer client.Close()
+	return chain.Begin(ctx, client, config.First(cfg, time.Now()), "bench")
+}
+
+func (b *Bench) firstConfig() []byte {
+	var text bytes.Buffer
+	text.WriteString(`{"data_centres": [`)
+	for i, name := range b.spec.DataCentres {
+		fmt.Fprintf(&text, `%s{"name": %q, "region": %q}`, comma(i), name, b.spec.Region)
+	}
+	text.WriteString(`], "services": [`)
+	for i, service := range b.spec.Services {
+		fmt.Fprintf(&text, `%s{"name": %q, "kind": %q, "repeatable": %t`, comma(i), service.Name, service.Kind, service.Repeatable)
+		if service.PathPrefix != "" {
+			fmt.Fprintf(&text, `, "path_prefix": %q`, service.PathPrefix)
+		}
+		if service.Extra != "" {
+			text.WriteString(", " + service.Extra)
+		}
+		text.WriteString("}")
+	}
+	text.WriteString(`], "models": [`)
+	models := 0
+	for _, service := range b.spec.Services {
+		if service.Kind == config.KindModel {
+			fmt.Fprintf(&text, `%s{"name": %q, "service": %q}`, comma(models), service.Name, service.Name)
+			models++
+		}
+	}
+	text.WriteString(`], "teams": [`)
+	for i, team := range b.spec.Teams {
+		sum := sha256.Sum256([]byte(Key(team)))
+		fmt.Fprintf(&text, `%s{"name": %q, "key_sha256": %q}`, comma(i), team, hex.EncodeToString(sum[:]))
+	}
+	text.WriteString(`], "endpoints": [`)
+	for i, object := range b.objects {
+		text.WriteString(comma(i))
+		text.Write(object)
+	}
+	text.WriteString(`]}`)
+	return text.Bytes()
+}
+
+func comma(i int) string {
+	if i == 0 {
+		return ""
+	}
+	return ", "
+}
+
+func (b *Bench) startEntry(node Node, hostAddr string) error {
+	ttl := int(b.spec.AddressTTL.Seconds())
+	text := fmt.Sprintf(`{"name": %q, "data_centre": %q, "listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0", "admin_listen": "127.0.0.1:0", "key_value": %q, "host_list": %q, "address_ttl_s": %d}`,
+		node.Name, node.DataCentre, b.kvAddr, hostAddr, ttl)
+	settings, err := prefs.ParseEntry(node.Name, []byte(text))
+	if err != nil {
+		return err
+	}
+	e, err := entry.New(settings, b.spec.Logger.With(zap.String("role", "entry"), zap.String("name", node.Name)))
+	if err != nil {
+		return err
+	}
+	if err := e.Start(); err != nil {
+		return err
+	}
+	b.entries[node.Name] = e
+	return nil
+}
+
+// readyPoll is how often WaitReady looks.
+const readyPoll = 20 * time.Millisecond
+
+// WaitReady waits until every entry takes requests and has a session to every
+// endpoint.
+func (b *Bench) WaitReady(ctx context.Context) error {
+	for {
+		if b.allReady() {
+			return nil
+		}
+		select {
+		case <-time.After(readyPoll):
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "the bench isn't ready in time")
+		}
+	}
+}
+
+func (b *Bench) allReady() bool {
+	for _, e := range b.entries {
+		status := e.Status().(entry.Status)
+		if e.Ready() != "" || len(status.Endpoints) < len(b.agents) {
+			return false
+		}
+		for _, endpoint := range status.Endpoints {
+			if !endpoint.Usable {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Entry returns the entry of the given name.
+func (b *Bench) Entry(name string) *entry.Entry { return b.entries[name] }
+
+// Agent returns the agent of the given endpoint.
+func (b *Bench) Agent(name string) *agent.Agent { return b.agents[name] }
+
+// Engine returns the engine of the given endpoint.
+func (b *Bench) Engine(name string) *stand.Engine { return b.engines[name] }
+
+// Plain returns the plain service of the given endpoint.
+func (b *Bench) Plain(name string) *stand.Plain { return b.plains[name] }
+
+// KV returns the server of the key-value service, to make it misbehave.
+func (b *Bench) KV() *stand.KVServer { return b.kv }
+
+// Counts returns the calls that the key-value service has counted.
+func (b *Bench) Counts() stand.KVCounts { return b.kvCore.Counts() }
+
+// Hosts returns the host list.
+func (b *Bench) Hosts() *stand.Hosts { return b.hosts }
+
+// KVAddress returns the address of the key-value service.
+func (b *Bench) KVAddress() string { return b.kvAddr }
+
+// Forget takes an entry that was closed by itself off the bench.
+func (b *Bench) Forget(name string) { delete(b.entries, name) }
+
+// Submit submits a patch at an entry.
+func (b *Bench) Submit(ctx context.Context, name string, base uint64, patch string) (entry.Submission, error) {
+	target := fmt.Sprintf("http://%s/patches?base=%d&file=%s", b.entries[name].AdminAddress(), base, url.QueryEscape("patch"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader([]byte(patch)))
+	if err != nil {
+		return entry.Submission{}, eris.Wrap(err, "can't submit a patch")
+	}
+	response, err := b.client.Do(request)
+	if err != nil {
+		return entry.Submission{}, eris.Wrap(err, "can't submit a patch")
+	}
+	defer response.Body.Close()
+	var submission entry.Submission
+	if err := json.NewDecoder(response.Body).Decode(&submission); err != nil {
+		return entry.Submission{}, eris.Wrap(err, "can't read the answer to a patch")
+	}
+	return submission, nil
+}
+
+// OutPatch returns a patch that takes a data centre out, or back in.
+func OutPatch(region, dataCentre string, out bool) string {
+	return fmt.Sprintf(`{"who": "bench", "why": "maintenance", "set": {"data_centres": [{"name": %q, "region": %q, "out": %t}]}}`,
+		dataCentre, region, out)
+}
+
+// Answer is an answer with its whole body.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Call sends a request to an entry and returns the whole answer. Where the
+// answer breaks off, what has come of it is returned with the error.
+func (b *Bench) Call(ctx context.Context, address, team, method, path, body string, header http.Header) (Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return Answer{}, eris.Wrap(err, "can't make a request")
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	if team != "" {
+		request.Header.Set("Authorization", "Bearer "+Key(team))
+	}
+	response, err := b.client.Do(request)
+	if err != nil {
+		return Answer{}, eris.Wrap(err, "a request has failed")
+	}
+	defer response.Body.Close()
+	whole, err := io.ReadAll(response.Body)
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: whole}, err
+}
+
+// Close ends everything.
+func (b *Bench) Close() {
+	b.client.CloseIdleConnections()
+	for _, e := range b.entries {
+		e.Close()
+	}
+	for _, a := range b.agents {
+		a.Close()
+	}
+	for _, engine := range b.engines {
+		engine.Close()
+	}
+	for _, server := range b.servers {
+		_ = server.Close()
+	}
+}
--- /dev/null
+++ b/internal/entry/reserve.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/lentilstand/lentilstand/internal/agent"
+	"github.com/lentilstand/lentilstand/internal/apierr"
+	"github.com/lentilstand/lentilstand/internal/link"
+	"github.com/lentilstand/lentilstand/internal/wirepb"
+	"github.com/lentilstand/lentilstand/pkg/config"
+	"github.com/lentilstand/lentilstand/pkg/route"
+)
+
+// How credits are looked for.
+const (
+	// quickTries is how many endpoints are asked for a credit at once, without
+	// waiting there.
+	quickTries = 2
+	// waitingTries is how many endpoints are waited for at the same time.
+	waitingTries = 2
+	// reserveWait is how long one reservation waits at an agent.
+	reserveWait = 250 * time.Millisecond
+	// reserveGrace is how much longer the entry waits for the agent's answer.
+	reserveGrace = time.Second
+	// stalePause is the pause after an agent has refused an old version.
+	stalePause = 50 * time.Millisecond
+)
+
+// Errors of a reservation. Nothing has run.
+var (
+	errBusy         = eris.New("the endpoint is busy")
+	errStaleVersion = eris.New("the endpoint knows a newer configuration")
+	errUnusable     = eris.New("the endpoint takes no requests")
+)
+
+// grant is a credit at an endpoint.
+type grant struct {
+	link        *agentLink
+	endpoint    config.Endpoint
+	stream      *link.Stream
+	incarnation string
+	credit      uint64
+	version     uint64
+}
+
+// release gives back a credit that isn't used.
+func (g *grant) release() { g.stream.Close() }
+
+// reserve finds an endpoint that gives the request a credit.
+func (f *flight) reserve(ctx context.Context) (*grant, *apierr.Error) {
+	rules := f.entry.follower.currentRules()
+	queue := f.entry.queues.of(f.service, len(rules.Usable(f.service.Name())))
+	if refusal := f.enterQueue(ctx, queue); refusal != nil {
+		return nil, refusal
+	}
+	defer queue.Leave()
+	giveUp := time.Now().Add(f.service.Queue().MaxWait())
+	for {
+		found, refusal := f.search(ctx)
+		if found != nil || refusal != nil {
+			return found, refusal
+		}
+		switch {
+		case f.exchange.Context().Err() != nil:
+			return nil, f.callerGone()
+		case ctx.Err() != nil:
+			return nil, f.timedOut()
+		case time.Now().After(giveUp):
+			return nil, f.waitedTooLong(queue)
+		}
+	}
+}
+
+// search asks for a credit once, by the rules and loads of this moment. It
+// returns neither a grant nor a refusal if it should be called again.
+func (f *flight) search(ctx context.Context) (*grant, *apierr.Error) {
+	if refusal := f.admissible(); refusal != nil {
+		return nil, refusal
+	}
+	rules := f.entry.follower.currentRules()
+	usable := rules.Usable(f.service.Name())
+	loads := f.entry.fleet.loads(usable, f.entry.hosts)
+	request := route.NewRequest(f.service.Name(), f.entry.settings.DataCentre(),
+		route.WithSession(f.session), route.Without(f.log.Failed()...))
+	decision := route.Decide(*rules, loads, request, seed())
+	if len(decision.Endpoints()) == 0 {
+		return nil, f.unserved(decision.Reason())
+	}
+	found := f.ask(ctx, rules, decision.Endpoints())
+	if found != nil && !f.stillAllowed(found) {
+		found.release()
+		return nil, nil
+	}
+	return found, nil
+}
+
+func (f *flight) unserved(reason route.Reason) *apierr.Error {
+	message := "no endpoint of the service is in service"
+	if reason == route.ReasonNoneReady {
+		message = "no endpoint of the service is ready"
+	}
+	return apierr.New(http.StatusServiceUnavailable, "no_endpoint", message,
+		apierr.WithOutcome(f.log.Outcome()), apierr.WithRetryAfter(retrySoon))
+}
+
+// ask asks the endpoints for a credit, first without waiting there.
+func (f *flight) ask(ctx context.Context, rules *route.Rules, endpoints []config.Endpoint) *grant {
+	version := rules.Head().Number()
+	for _, endpoint := range endpoints[:min(quickTries, len(endpoints))] {
+		found, err := f.askOne(ctx, endpoint, version, 0)
+		if err == nil {
+			return found
+		}
+		if isStale(err) {
+			f.entry.follower.refuted()
+			pauseUnless(ctx, stalePause)
+			return nil
+		}
+	}
+	return f.askWaiting(ctx, endpoints[:min(waitingTries, len(endpoints))], version)
+}
+
+// askWaiting waits at several endpoints for whichever credit comes first and
+// gives the others back.
+func (f *flight) askWaiting(ctx context.Context, endpoints []config.Endpoint, version uint64) *grant {
+	ctx, cancel := context.WithTimeout(ctx, reserveWait+reserveGrace)
+	defer cancel()
+	grants := make(chan *grant, len(endpoints))
+	for _, endpoint := range endpoints {
+		go func() {
+			found, _ := f.askOne(ctx, endpoint, version, reserveWait)
+			grants <- found
+		}()
+	}
+	began := time.Now()
+	for i := range endpoints {
+		if found := <-grants; found != nil {
+			cancel()
+			go releaseAll(grants, len(endpoints)-i-1)
+			return found
+		}
+	}
+	// Endpoints that refuse at once would make this a busy loop.
+	pauseUnless(ctx, stalePause-time.Since(began))
+	return nil
+}
+
+func releaseAll(grants <-chan *grant, count int) {
+	for range count {
+		if found := <-grants; found != nil {
+			found.release()
+		}
+	}
+}
+
+// askOne asks one endpoint for a credit and waits there for as long as wait.
+func (f *flight) askOne(ctx context.Context, endpoint config.Endpoint, version uint64, wait time.Duration) (*grant, error) {
+	l := f.entry.fleet.link(endpoint.Name())
+	if l == nil {
+		return nil, errNotConnected
+	}
+	stream, err := l.open()
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, stream.Close)
+	granted, err := f.askStream(stream, version, wait)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		stream.Close()
+		return nil, err
+	}
+	l.expect()
+	return &grant{
+		link:        l,
+		endpoint:    endpoint,
+		stream:      stream,
+		incarnation: granted.GetIncarnation(),
+		credit:      granted.GetCredit(),
+		version:     version,
+	}, nil
+}
+
+func (f *flight) askStream(stream *link.Stream, version uint64, wait time.Duration) (*wirepb.Granted, error) {
+	reserve := &wirepb.Reserve{
+		Service:  f.service.Name(),
+		Version:  version,
+		Entry:    f.entry.settings.Name(),
+		WaitMs:   uint32(wait.Milliseconds()),
+		Priority: uint32(f.team.Priority()),
+	}
+	if err := stream.Write(&wirepb.Frame{Body: &wirepb.Frame_Reserve{Reserve: reserve}}); err != nil {
+		return nil, err
+	}
+	message, err := stream.ReadWithin(wait + reserveGrace)
+	if err != nil {
+		return nil, err
+	}
+	if granted := message.GetGranted(); granted != nil {
+		return granted, nil
+	}
+	switch message.GetRefused().GetCode() {
+	case agent.CodeBusy:
+		return nil, errBusy
+	case agent.CodeStaleVersion:
+		return nil, errStaleVersion
+	default:
+		return nil, errUnusable
+	}
+}
+
+// stillAllowed reports whether the rules of this moment allow the endpoint that
+// a credit was waited for.
+func (f *flight) stillAllowed(found *grant) bool {
+	if !f.entry.follower.standing().MayServe() {
+		return false
+	}
+	for _, endpoint := range f.entry.follower.currentRules().Usable(f.service.Name()) {
+		if endpoint.Name() == found.endpoint.Name() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/submit.go
@@ -0,0 +1,294 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/lentilstand/lentilstand/internal/admin"
+	"github.com/lentilstand/lentilstand/internal/apierr"
+	"github.com/lentilstand/lentilstand/internal/webio"
+	"github.com/lentilstand/lentilstand/pkg/chain"
+	"github.com/lentilstand/lentilstand/pkg/config"
+	"github.com/lentilstand/lentilstand/pkg/diag"
+	"github.com/lentilstand/lentilstand/pkg/quorum"
+)
+
+// submitBound is how long a submission may take in all.
+const submitBound = 30 * time.Second
+
+// The results of a submission.
+const (
+	ResultAccepted = "accepted"
+	ResultRejected = "rejected"
+	ResultConflict = "conflict"
+	ResultUnknown  = "unknown"
+	ResultPassed   = "passed"
+)
+
+// Submission is what became of a submitted patch.
+type Submission struct {
+	Result   string       `json:"result"`
+	Version  uint64       `json:"version,omitempty"`
+	Hash     string       `json:"hash,omitempty"`
+	Findings []string     `json:"findings,omitempty"`
+	Changed  []Difference `json:"changed,omitempty"`
+	Message  string       `json:"message,omitempty"`
+	Settle   string       `json:"settle,omitempty"`
+}
+
+// Difference is an object that has changed since a patch's base.
+type Difference struct {
+	Kind   string `json:"kind"`
+	Name   string `json:"name"`
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// NewDifferences returns the differences of two configurations in the shape in
+// which operators see them.
+func NewDifferences(before, after *config.Config) []Difference {
+	var differences []Difference
+	for _, d := range config.Diff(before, after) {
+		differences = append(differences, Difference{
+			Kind:   d.Kind(),
+			Name:   d.Name(),
+			Before: d.Before(),
+			After:  d.After(),
+		})
+	}
+	return differences
+}
+
+// order is a patch as an operator has sent it.
+type order struct {
+	patch         *config.Patch
+	allowUnserved bool
+}
+
+func readOrder(exchange *webio.Exchange) (order, *Submission) {
+	query := exchange.Request().URL.Query()
+	var options []config.PatchOption
+	if base := query.Get("base"); base != "" {
+		number, err := strconv.ParseUint(base, 10, 64)
+		if err != nil {
+			return order{}, &Submission{Result: ResultRejected, Findings: []string{"the base must be a version number"}}
+		}
+		options = append(options, config.WithBase(number))
+	}
+	file := query.Get("file")
+	if file == "" {
+		file = "patch"
+	}
+	patch, err := config.ParsePatch(file, exchange.Body(), options...)
+	if err != nil {
+		return order{}, rejectedBy(err)
+	}
+	return order{patch: patch, allowUnserved: query.Get("allow_unserved") == "true"}, nil
+}
+
+func rejectedBy(err error) *Submission {
+	rejected := &Submission{Result: ResultRejected}
+	var findings *diag.Error
+	if eris.As(err, &findings) {
+		for _, finding := range findings.Findings() {
+			rejected.Findings = append(rejected.Findings, finding.String())
+		}
+		return rejected
+	}
+	rejected.Findings = []string{err.Error()}
+	return rejected
+}
+
+// submitPatch answers POST /patches.
+func (e *Entry) submitPatch(exchange *webio.Exchange) {
+	e.answerOrder(exchange, e.acceptor.submit)
+}
+
+// checkPatch answers POST /patches/check.
+func (e *Entry) checkPatch(exchange *webio.Exchange) {
+	e.answerOrder(exchange, e.acceptor.check)
+}
+
+func (e *Entry) answerOrder(exchange *webio.Exchange, carryOut func(context.Context, order) *Submission) {
+	if len(exchange.Body()) == 0 {
+		apierr.New(http.StatusBadRequest, "empty_patch", "the body must be a patch").Reply(exchange)
+		return
+	}
+	given, rejected := readOrder(exchange)
+	if rejected != nil {
+		admin.ReplyJSON(exchange, http.StatusUnprocessableEntity, rejected)
+		return
+	}
+	// The submission goes on if the operator hangs up.
+	ctx, cancel := context.WithTimeout(context.Background(), submitBound)
+	defer cancel()
+	result := carryOut(ctx, given)
+	admin.ReplyJSON(exchange, statusOf(result), result)
+}
+
+func statusOf(submission *Submission) int {
+	switch submission.Result {
+	case ResultAccepted, ResultPassed:
+		return http.StatusOK
+	case ResultConflict:
+		return http.StatusConflict
+	case ResultUnknown:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusUnprocessableEntity
+	}
+}
+
+// prepared is a version that an order makes of the one in force.
+type prepared struct {
+	view quorum.View
+	last chain.Mark
+	next *config.Version
+}
+
+// prepare reads the marks, waits until nothing is staged, and makes the next
+// version. What it returns as a Submission ends the order.
+func (a *acceptor) prepare(ctx context.Context, given order) (prepared, *Submission) {
+	view, last, err := a.quietMarks(ctx)
+	if err != nil {
+		return prepared{}, &Submission{Result: ResultRejected, Message: "nothing was changed", Findings: []string{err.Error()}}
+	}
+	head, err := chain.Load(ctx, a.kv, view.Head(), a.knownHead())
+	if err != nil {
+		return prepared{}, &Submission{Result: ResultRejected, Message: "nothing was changed", Findings: []string{err.Error()}}
+	}
+	if given.patch.Base() != head.Number() {
+		return prepared{}, a.conflict(ctx, given.patch.Base(), view.Head(), head)
+	}
+	next, err := head.Next(given.patch, time.Now())
+	if err != nil {
+		return prepared{}, rejectedBy(err)
+	}
+	if findings := newlyUnserved(head.Config(), next.Config()); len(findings) > 0 && !given.allowUnserved {
+		return prepared{}, &Submission{
+			Result:   ResultRejected,
+			Findings: findings,
+			Message:  "submit with --allow-unserved if this is meant",
+		}
+	}
+	return prepared{view: view, last: last, next: next}, nil
+}
+
+// newlyUnserved returns the findings about services that the change leaves
+// without endpoints.
+func newlyUnserved(before, after *config.Config) []string {
+	known := make(map[string]bool)
+	for _, message := range before.Unserved() {
+		known[message] = true
+	}
+	var findings []string
+	for _, message := range after.Unserved() {
+		if !known[message] {
+			findings = append(findings, message)
+		}
+	}
+	return findings
+}
+
+func (a *acceptor) knownHead() *config.Version {
+	a.follower.mu.Lock()
+	defer a.follower.mu.Unlock()
+	return a.follower.head
+}
+
+// quietMarks reads the marks, and waits for the decision if one is staged.
+func (a *acceptor) quietMarks(ctx context.Context) (quorum.View, chain.Mark, error) {
+	for {
+		view, last, err := a.marks(ctx)
+		if err != nil || !view.IsPending() {
+			return view, last, err
+		}
+		if ctx.Err() != nil {
+			return view, last, eris.Errorf("version %d is staged and not decided yet", view.Pending().Number())
+		}
+		pauseUnless(ctx, settlePause)
+	}
+}
+
+// conflict tells what has changed since the base of a patch.
+func (a *acceptor) conflict(ctx context.Context, base uint64, mark chain.Mark, head *config.Version) *Submission {
+	result := &Submission{
+		Result:  ResultConflict,
+		Version: head.Number(),
+		Message: "the patch is based on version " + strconv.FormatUint(base, 10) + ", but version " +
+			strconv.FormatUint(head.Number(), 10) + " is in force",
+	}
+	before, err := chain.At(ctx, a.kv, mark, base)
+	if err == nil {
+		result.Changed = NewDifferences(before.Config(), head.Config())
+	}
+	return result
+}
+
+// check tells what submitting a patch would find, without changing anything.
+func (a *acceptor) check(ctx context.Context, given order) *Submission {
+	ready, ending := a.prepare(ctx, given)
+	if ending != nil {
+		return ending
+	}
+	return &Submission{Result: ResultPassed, Version: ready.next.Number()}
+}
+
+// submit brings a patch into force everywhere or rejects it.
+func (a *acceptor) submit(ctx context.Context, given order) *Submission {
+	ready, ending := a.prepare(ctx, given)
+	if ending != nil {
+		return ending
+	}
+	if err := a.writeVersion(ctx, ready.next); err != nil {
+		return &Submission{Result: ResultRejected, Message: "nothing was changed", Findings: []string{err.Error()}}
+	}
+	view, err := a.stage(ctx, ready.view, ready.last, ready.next, ready.view.Head().Voters())
+	if err == nil {
+		err = a.decide(ctx, view, time.Now())
+	}
+	return a.outcome(ctx, given, ready.next, err)
+}
+
+// outcome turns the end of an acceptance into what the operator is told.
+func (a *acceptor) outcome(ctx context.Context, given order, next *config.Version, err error) *Submission {
+	switch {
+	case err == nil:
+		return &Submission{Result: ResultAccepted, Version: next.Number(), Hash: next.Hash()}
+	case eris.Is(err, errLostRace):
+		// The base has changed, so looking again ends in a conflict.
+		if _, ending := a.prepare(ctx, given); ending != nil {
+			return ending
+		}
+		return &Submission{Result: ResultRejected, Findings: []string{err.Error()}, Message: "the version was given up; submit again"}
+	case eris.Is(err, errUnsettled):
+		return &Submission{
+			Result:  ResultUnknown,
+			Version: next.Number(),
+			Hash:    next.Hash(),
+			Message: err.Error(),
+			Settle:  "lentilstand patch settle " + strconv.FormatUint(next.Number(), 10) + " " + next.Hash(),
+		}
+	default:
+		return &Submission{Result: ResultRejected, Findings: []string{strings.TrimSpace(err.Error())}}
+	}
+}
+
+// writeVersion writes a version's record and tries again where an answer was
+// lost, which is safe since its keys never change.
+func (a *acceptor) writeVersion(ctx context.Context, version *config.Version) error {
+	const tries = 3
+	var err error
+	for range tries {
+		if err = chain.WriteVersion(ctx, a.kv, version); err == nil {
+			return nil
+		}
+		pauseUnless(ctx, settlePause)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/event/catalogue.go
@@ -0,0 +1,73 @@
+package event
+
+import "go.uber.org/zap/zapcore"
+
+// Short names for the levels keep the catalogue readable.
+const (
+	debug  = zapcore.DebugLevel
+	info   = zapcore.InfoLevel
+	warn   = zapcore.WarnLevel
+	failed = zapcore.ErrorLevel
+)
+
+// Events of processes.
+var (
+	ProcessStarted  = define(1001, "process_started", info, "The process listens on its addresses.")
+	ProcessLeaving  = define(1002, "process_leaving", info, "The process was asked to stop and withdraws; it goes on with what runs.")
+	ProcessStopped  = define(1003, "process_stopped", info, "The process has stopped; nothing was left running.")
+	ProcessCutOff   = define(1004, "process_cut_off", warn, "The bound of a graceful stop has passed; `left` requests were cut off.")
+	ListenFailed    = define(1005, "listen_failed", failed, "The process can't listen on one of its addresses.")
+	HandlerPanicked = define(1006, "handler_panicked", failed, "Answering a request panicked; the request got a 500.")
+)
+
+// Events of callers and requests.
+var (
+	RequestRefused   = define(2001, "request_refused", info, "A request was refused; `code` tells why and `outcome` whether it may have run.")
+	RequestServed    = define(2002, "request_served", debug, "A request got its whole answer.")
+	RequestMalformed = define(2003, "request_malformed", info, "The bytes on a connection were no HTTP request; the connection was closed.")
+	RequestTooLarge  = define(2004, "request_too_large", info, "The header or the body of a request was above its bound.")
+	CallerGone       = define(2005, "caller_gone", info, "The caller closed its connection; its request was cancelled.")
+	CallerStalled    = define(2006, "caller_stalled", warn, "A caller took nothing of its answer for too long and was cut off.")
+	StreamBroken     = define(2007, "stream_broken", warn, "An answer ended before its end; the caller got an error in place of a clean end.")
+	AttemptFailed    = define(2008, "attempt_failed", info, "An attempt at a request failed; `outcome` tells whether it may have run.")
+	OutcomeUnknown   = define(2009, "outcome_unknown", warn, "It isn't known whether a request has run; the caller was told so.")
+	ClaimUnsettled   = define(2010, "claim_unsettled", warn, "The outcome of a claimed request couldn't be written to the key-value service.")
+)
+
+// Events of connections between processes.
+var (
+	SessionOpened   = define(3001, "session_opened", info, "A session to another process is open.")
+	SessionClosed   = define(3002, "session_closed", info, "A session to another process has ended.")
+	SessionSilent   = define(3003, "session_silent", warn, "A session had no heartbeat within its bound and was left.")
+	SessionRefused  = define(3004, "session_refused", warn, "Bytes on the internal port were not ours; the session was closed.")
+	SessionDialFail = define(3005, "session_dial_failed", debug, "A session to another process couldn't be opened; it is tried again.")
+	FrameRefused    = define(3006, "frame_refused", warn, "A frame was malformed, too large or out of place; its stream was closed.")
+)
+
+// Events of endpoints.
+var (
+	EndpointCold     = define(4001, "endpoint_cold", warn, "The endpoint started anew or turned cold; its capacity opens again with completed work.")
+	EndpointReady    = define(4002, "endpoint_ready", info, "The endpoint takes requests.")
+	EndpointNotReady = define(4003, "endpoint_not_ready", warn, "The endpoint can't be reached or isn't ready; it gets no requests.")
+	EndpointLeaving  = define(4004, "endpoint_leaving", info, "The endpoint leaves; it gets no new requests.")
+)
+
+// Events of the configuration and the key-value service.
+var (
+	VersionAdopted   = define(5001, "version_adopted", info, "The process obeys a newer version of the configuration.")
+	VersionStale     = define(5002, "version_stale", warn, "The process can't show that its version is current and takes no new work.")
+	VersionFresh     = define(5003, "version_fresh", info, "The process can show again that its version is current.")
+	VersionWentBack  = define(5004, "version_went_back", failed, "The key-value service showed an older head than before; it was not obeyed.")
+	VersionUnusable  = define(5005, "version_unusable", failed, "A version in the key-value service can't be read or breaks the hash chain.")
+	StoreUnreachable = define(5006, "store_unreachable", warn, "The key-value service doesn't answer.")
+	StoreReachable   = define(5007, "store_reachable", info, "The key-value service answers again.")
+	VersionPending   = define(5008, "version_pending", info, "A version is staged; the process obeys it together with the one in force.")
+	VersionDropped   = define(5009, "version_dropped", info, "A staged version was rejected.")
+)
+
+// Events of membership.
+var (
+	MemberJoined   = define(6001, "member_joined", info, "The process is registered as a member.")
+	MemberLost     = define(6002, "member_lost", warn, "The process's lease lapsed; it joins anew.")
+	PeerUnreadable = define(6003, "peer_unreadable", warn, "The entry of a member in the key-value service can't be read.")
+)
--- /dev/null
+++ b/internal/frame/frame_test.go
@@ -0,0 +1,84 @@
+package frame_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lentilstand/lentilstand/internal/frame"
+	"github.com/lentilstand/lentilstand/internal/wirepb"
+)
+
+func encode(t testing.TB, message *wirepb.Frame) []byte {
+	var stream bytes.Buffer
+	require.NoError(t, frame.NewWriter(&stream).Write(message))
+	return stream.Bytes()
+}
+
+func reserve(service string) *wirepb.Frame {
+	return &wirepb.Frame{Body: &wirepb.Frame_Reserve{Reserve: &wirepb.Reserve{Service: service, Version: 7}}}
+}
+
+func TestReader(t *testing.T) {
+	whole := encode(t, reserve("skiff-lm"))
+	testCases := []struct {
+		name   string
+		stream []byte
+		want   error
+	}{
+		{name: "whole", stream: whole},
+		{name: "nothing", stream: nil, want: io.EOF},
+		{name: "half a header", stream: whole[:2], want: io.ErrUnexpectedEOF},
+		{name: "half a frame", stream: whole[:len(whole)-1], want: io.ErrUnexpectedEOF},
+		{name: "above the bound", stream: binary.BigEndian.AppendUint32(nil, frame.MaxBytes+1), want: frame.ErrTooLarge},
+		{name: "empty frame", stream: []byte{0, 0, 0, 0}, want: frame.ErrMalformed},
+		{name: "no protobuf", stream: []byte{0, 0, 0, 2, 0xff, 0xff}, want: frame.ErrMalformed},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			message, err := frame.NewReader(bytes.NewReader(tc.stream)).Read()
+			if tc.want != nil {
+				require.ErrorIs(t, err, tc.want)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, "skiff-lm", message.GetReserve().GetService())
+		})
+	}
+}
+
+func TestWriterRefusesLargeFrames(t *testing.T) {
+	var stream bytes.Buffer
+	message := &wirepb.Frame{Body: &wirepb.Frame_Chunk{Chunk: &wirepb.Chunk{Data: make([]byte, frame.MaxBytes)}}}
+	require.ErrorIs(t, frame.NewWriter(&stream).Write(message), frame.ErrTooLarge)
+	require.Zero(t, stream.Len())
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add(encode(f, reserve("skiff-lm")))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		reader := frame.NewReader(bytes.NewReader(stream))
+		for {
+			message, err := reader.Read()
+			if err != nil {
+				return
+			}
+			require.NotNil(t, message.GetBody())
+		}
+	})
+}
+
+func BenchmarkWriter(b *testing.B) {
+	message := &wirepb.Frame{Body: &wirepb.Frame_Chunk{Chunk: &wirepb.Chunk{Request: "r-1", Data: make([]byte, 64)}}}
+	writer := frame.NewWriter(io.Discard)
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := writer.Write(message); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/prefs/prefs.go
@@ -0,0 +1,240 @@
+// Package prefs reads the settings of the processes from JSON with comments.
+//
+// A settings file is checked as a whole: every finding is reported with its
+// place, and unknown fields are findings. A process learns its name, addresses
+// and data centre from its settings.
+package prefs
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/lentilstand/lentilstand/pkg/config"
+	"github.com/lentilstand/lentilstand/pkg/diag"
+	"github.com/lentilstand/lentilstand/pkg/jsonc"
+)
+
+// Defaults and bounds of settings.
+const (
+	defaultAddressTTL = 5 * time.Second
+	defaultStopBound  = 60 * time.Second
+	defaultFirstByte  = 2 * time.Second
+	maxSeconds        = 3600
+	maxCapacity       = 100_000
+	maxBoundMS        = 600_000
+)
+
+// load reads a settings file and maps it by read.
+func load[S any](path string, read func(*jsonc.Object) S) (S, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		var none S
+		return none, eris.Wrap(err, "can't read the settings")
+	}
+	return parse(path, data, read)
+}
+
+func parse[S any](file string, data []byte, read func(*jsonc.Object) S) (S, error) {
+	var settings S
+	var findings diag.List
+	if root := jsonc.Parse(file, data, &findings); root != nil {
+		settings = read(root)
+		root.Close()
+	}
+	return settings, findings.Err()
+}
+
+// address reads a required IP address with a port.
+func address(object *jsonc.Object, name string) string {
+	return checkAddress(object, name, object.Text(name))
+}
+
+// addressOr reads an optional IP address with a port.
+func addressOr(object *jsonc.Object, name, fallback string) string {
+	return checkAddress(object, name, object.TextOr(name, fallback))
+}
+
+func checkAddress(object *jsonc.Object, name, text string) string {
+	if text == "" {
+		return ""
+	}
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		object.Addf(name, "field %q is %q and must be an IP address and a port", name, text)
+	}
+	return text
+}
+
+func seconds(object *jsonc.Object, name string, fallback time.Duration) time.Duration {
+	number := object.IntOr(name, int64(fallback/time.Second), 0, maxSeconds)
+	return time.Duration(number) * time.Second
+}
+
+func logLevel(object *jsonc.Object) zapcore.Level {
+	const name = "log_level"
+	text := object.TextOr(name, "info")
+	level, err := zapcore.ParseLevel(text)
+	if err != nil {
+		object.Addf(name, "field %q is %q and must be debug, info, warn or error", name, text)
+	}
+	return level
+}
+
+// Entry holds the settings of an entry.
+type Entry struct {
+	name       string
+	dataCentre string
+	listen     string
+	peer       string
+	admin      string
+	keyValue   string
+	hostList   string
+	addressTTL time.Duration
+	stopBound  time.Duration
+	level      zapcore.Level
+}
+
+// LoadEntry reads an entry's settings from a file.
+func LoadEntry(path string) (Entry, error) { return load(path, readEntry) }
+
+// ParseEntry reads an entry's settings from a text.
+func ParseEntry(file string, data []byte) (Entry, error) { return parse(file, data, readEntry) }
+
+func readEntry(object *jsonc.Object) Entry {
+	return Entry{
+		name:       object.Text("name"),
+		dataCentre: object.Text("data_centre"),
+		listen:     address(object, "listen"),
+		peer:       address(object, "peer_listen"),
+		admin:      address(object, "admin_listen"),
+		keyValue:   address(object, "key_value"),
+		hostList:   addressOr(object, "host_list", ""),
+		addressTTL: seconds(object, "address_ttl_s", defaultAddressTTL),
+		stopBound:  seconds(object, "stop_bound_s", defaultStopBound),
+		level:      logLevel(object),
+	}
+}
+
+// Name returns the entry's name, unique among the entries.
+func (e Entry) Name() string { return e.name }
+
+// DataCentre returns the data centre that the entry stands in.
+func (e Entry) DataCentre() string { return e.dataCentre }
+
+// Listen returns the address for callers.
+func (e Entry) Listen() string { return e.listen }
+
+// Peer returns the address for other entries.
+func (e Entry) Peer() string { return e.peer }
+
+// Admin returns the address for operators.
+func (e Entry) Admin() string { return e.admin }
+
+// KeyValue returns the address of the key-value service.
+func (e Entry) KeyValue() string { return e.keyValue }
+
+// HostList returns the address of the platform's host list, or nothing.
+func (e Entry) HostList() string { return e.hostList }
+
+// AddressTTL returns how long callers keep the addresses they are told.
+func (e Entry) AddressTTL() time.Duration { return e.addressTTL }
+
+// StopBound returns how long a graceful stop may take.
+func (e Entry) StopBound() time.Duration { return e.stopBound }
+
+// LogLevel returns the lowest level that is logged.
+func (e Entry) LogLevel() zapcore.Level { return e.level }
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	name      string
+	service   string
+	kind      config.Kind
+	listen    string
+	admin     string
+	endpoint  string
+	capacity  int
+	firstByte time.Duration
+	stopBound time.Duration
+	level     zapcore.Level
+}
+
+// LoadAgent reads an agent's settings from a file.
+func LoadAgent(path string) (Agent, error) { return load(path, readAgent) }
+
+// ParseAgent reads an agent's settings from a text.
+func ParseAgent(file string, data []byte) (Agent, error) { return parse(file, data, readAgent) }
+
+func readAgent(object *jsonc.Object) Agent {
+	return Agent{
+		name:      object.Text("name"),
+		service:   object.Text("service"),
+		kind:      config.Kind(object.OneOf("kind", string(config.KindModel), string(config.KindPlain))),
+		listen:    address(object, "listen"),
+		admin:     address(object, "admin_listen"),
+		endpoint:  address(object, "endpoint"),
+		capacity:  int(object.Int("capacity", 1, maxCapacity)),
+		firstByte: time.Duration(object.IntOr("first_byte_ms", defaultFirstByte.Milliseconds(), 1, maxBoundMS)) * time.Millisecond,
+		stopBound: seconds(object, "stop_bound_s", defaultStopBound),
+		level:     logLevel(object),
+	}
+}
+
+// Name returns the name of the endpoint that the agent stands beside.
+func (a Agent) Name() string { return a.name }
+
+// Service returns the name of the endpoint's service.
+func (a Agent) Service() string { return a.service }
+
+// Kind returns what the endpoint speaks.
+func (a Agent) Kind() config.Kind { return a.kind }
+
+// Listen returns the address for entries.
+func (a Agent) Listen() string { return a.listen }
+
+// Admin returns the address for operators.
+func (a Agent) Admin() string { return a.admin }
+
+// Endpoint returns the address of the endpoint.
+func (a Agent) Endpoint() string { return a.endpoint }
+
+// Capacity returns how many requests the warm endpoint bears at a time.
+func (a Agent) Capacity() int { return a.capacity }
+
+// FirstByte returns the time within which a first byte counts as in time.
+func (a Agent) FirstByte() time.Duration { return a.firstByte }
+
+// StopBound returns how long a graceful stop may take.
+func (a Agent) StopBound() time.Duration { return a.stopBound }
+
+// LogLevel returns the lowest level that is logged.
+func (a Agent) LogLevel() zapcore.Level { return a.level }
+
+// Operator holds the settings of the operators' commands.
+type Operator struct {
+	keyValue string
+	entries  []string
+}
+
+// LoadOperator reads the settings of the operators' commands from a file.
+func LoadOperator(path string) (Operator, error) { return load(path, readOperator) }
+
+func readOperator(object *jsonc.Object) Operator {
+	operator := Operator{keyValue: address(object, "key_value"), entries: object.Texts("entries")}
+	if len(operator.entries) == 0 {
+		object.Addf("entries", "field %q must name the admin address of at least one entry", "entries")
+	}
+	for _, entry := range operator.entries {
+		checkAddress(object, "entries", entry)
+	}
+	return operator
+}
+
+// KeyValue returns the address of the key-value service.
+func (o Operator) KeyValue() string { return o.keyValue }
+
+// Entries returns the admin addresses of the entries.
+func (o Operator) Entries() []string { return o.entries }
--- /dev/null
+++ b/internal/stand/engine.go
@@ -0,0 +1,563 @@
+package stand
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+)
+
+// EngineSpec sets how an Engine behaves.
+type EngineSpec struct {
+	// Capacity is how many requests the warm engine bears at a time.
+	Capacity int
+	// ColdCapacity is how many it bears before it has completed WarmAfter.
+	ColdCapacity int
+	// WarmAfter is how many completions make the engine warm.
+	WarmAfter int
+	// Step is the time of one step, which gives each request one token.
+	Step time.Duration
+	// Prefill is the time until the first step of a request whose prompt is not
+	// in the prefix cache.
+	Prefill time.Duration
+	// CacheEntries bounds the prefix cache.
+	CacheEntries int
+	// ReportLag is how old the load is that GET /load reports.
+	ReportLag time.Duration
+	// Restart is how long the engine is away after it fell over.
+	Restart time.Duration
+	// ChecksFence makes the engine refuse orders with an old fencing number.
+	ChecksFence bool
+}
+
+// DefaultEngineSpec returns the behaviour of a small engine.
+func DefaultEngineSpec() EngineSpec {
+	return EngineSpec{
+		Capacity:     8,
+		ColdCapacity: 2,
+		WarmAfter:    8,
+		Step:         10 * time.Millisecond,
+		Prefill:      30 * time.Millisecond,
+		CacheEntries: 128,
+		ReportLag:    100 * time.Millisecond,
+		Restart:      300 * time.Millisecond,
+	}
+}
+
+// EngineFaults are the orders to misbehave that an Engine takes by POST /faults.
+type EngineFaults struct {
+	// Fall makes the engine fall over now.
+	Fall bool `json:"fall,omitempty"`
+	// Cold makes the engine cold without a new epoch.
+	Cold bool `json:"cold,omitempty"`
+	// PauseMS adds a pause before each step.
+	PauseMS int64 `json:"pause_ms,omitempty"`
+	// CrashOn makes the engine fall over on prompts that contain this text.
+	CrashOn string `json:"crash_on,omitempty"`
+	// Leaving makes the engine report that it is leaving.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// EngineLoad is what GET /load reports.
+type EngineLoad struct {
+	Epoch    string `json:"epoch"`
+	Ready    bool   `json:"ready"`
+	Leaving  bool   `json:"leaving"`
+	Capacity int    `json:"capacity"`
+	Running  int    `json:"running"`
+	Version  string `json:"model_version"`
+}
+
+// EngineCounts are what tests ask of an Engine by GET /counts.
+type EngineCounts struct {
+	Falls     int `json:"falls"`
+	Completed int `json:"completed"`
+	Cancelled int `json:"cancelled"`
+	Peak      int `json:"peak"`
+	Running   int `json:"running"`
+}
+
+// sequence is a request in the engine's batch.
+type sequence struct {
+	id       string
+	priority int
+	starts   time.Time
+	left     int
+	tokens   chan struct{}
+	failed   chan struct{}
+}
+
+// cacheEvent is one change of the prefix cache, as GET /cache_events lists it.
+type cacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	Op       string `json:"op"`
+	Prefix   string `json:"prefix"`
+	at       time.Time
+}
+
+// Engine is a stand-in of a model engine that batches continuously. Use
+// NewEngine.
+type Engine struct {
+	spec EngineSpec
+	mux  *http.ServeMux
+	stop chan struct{}
+	done chan struct{}
+
+	mu        sync.Mutex
+	epoch     string
+	downUntil time.Time
+	batch     []*sequence
+	since     int
+	faults    EngineFaults
+	counts    EngineCounts
+	cache     []string
+	events    []cacheEvent
+	eventSeq  uint64
+	history   []timedLoad
+	fence     uint64
+	orders    []string
+}
+
+type timedLoad struct {
+	at   time.Time
+	load EngineLoad
+}
+
+// EngineVersion is the model version that all stand-in engines serve.
+const EngineVersion = "v1"
+
+// NewEngine returns a running engine. The caller must Close it.
+func NewEngine(spec EngineSpec) *Engine {
+	e := &Engine{
+		spec:  spec,
+		mux:   http.NewServeMux(),
+		stop:  make(chan struct{}),
+		done:  make(chan struct{}),
+		epoch: uuid.NewString(),
+	}
+	e.mux.HandleFunc("POST /v1/chat/completions", e.chat)
+	e.mux.HandleFunc("GET /load", e.load)
+	e.mux.HandleFunc("GET /cache_events", e.cacheEvents)
+	e.mux.HandleFunc("POST /cancel", e.cancel)
+	e.mux.HandleFunc("POST /orders", e.order)
+	e.mux.HandleFunc("POST /faults", e.setFaults)
+	e.mux.HandleFunc("GET /counts", e.getCounts)
+	go e.run()
+	return e
+}
+
+// Close ends the engine.
+func (e *Engine) Close() {
+	close(e.stop)
+	<-e.done
+}
+
+// ServeHTTP answers one call.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+// run makes the engine's steps.
+func (e *Engine) run() {
+	defer close(e.done)
+	for {
+		e.mu.Lock()
+		pause := e.spec.Step + time.Duration(e.faults.PauseMS)*time.Millisecond
+		e.mu.Unlock()
+		select {
+		case <-e.stop:
+			return
+		case <-time.After(pause):
+		}
+		e.step()
+	}
+}
+
+func (e *Engine) step() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.remember(now)
+	kept := e.batch[:0]
+	for _, seq := range e.batch {
+		if now.Before(seq.starts) {
+			kept = append(kept, seq)
+			continue
+		}
+		select {
+		case seq.tokens <- struct{}{}:
+			seq.left--
+		default:
+			// A reader that doesn't take its tokens keeps its place.
+		}
+		if seq.left > 0 {
+			kept = append(kept, seq)
+			continue
+		}
+		close(seq.tokens)
+		e.since++
+		e.counts.Completed++
+	}
+	e.batch = kept
+}
+
+func (e *Engine) remember(now time.Time) {
+	e.history = append(e.history, timedLoad{at: now, load: e.loadNow(now)})
+	old := slices.IndexFunc(e.history, func(h timedLoad) bool { return now.Sub(h.at) <= e.spec.ReportLag })
+	if old > 1 {
+		e.history = slices.Delete(e.history, 0, old-1)
+	}
+}
+
+func (e *Engine) loadNow(now time.Time) EngineLoad {
+	return EngineLoad{
+		Epoch:    e.epoch,
+		Ready:    now.After(e.downUntil),
+		Leaving:  e.faults.Leaving,
+		Capacity: e.spec.Capacity,
+		Running:  len(e.batch),
+		Version:  EngineVersion,
+	}
+}
+
+// bears returns how many requests the engine bears now.
+func (e *Engine) bears() int {
+	if e.since < e.spec.WarmAfter {
+		return e.spec.ColdCapacity
+	}
+	return e.spec.Capacity
+}
+
+// fall ends all requests without an answer and makes the engine cold.
+func (e *Engine) fall() {
+	for _, seq := range e.batch {
+		close(seq.failed)
+	}
+	e.batch = nil
+	e.epoch = uuid.NewString()
+	e.since = 0
+	e.cache = nil
+	e.counts.Falls++
+	e.downUntil = time.Now().Add(e.spec.Restart)
+}
+
+// chatCall is the part of a chat request that the engine looks at.
+type chatCall struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+	Messages  []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+func (c chatCall) prompt() string {
+	var prompt strings.Builder
+	for _, message := range c.Messages {
+		prompt.WriteString(message.Role + ": " + message.Content + "\n")
+	}
+	return prompt.String()
+}
+
+const defaultMaxTokens = 16
+
+// Header fields of the engine's protocol.
+const (
+	// HeaderRequest names the request, for cancelling and resuming.
+	HeaderRequest = "X-Request-Id"
+	// HeaderPriority is the request's priority, higher first.
+	HeaderPriority = "X-Priority"
+	// HeaderResume is the byte offset of the body at which to go on.
+	HeaderResume = "X-Resume-Offset"
+	// HeaderVersion names the version of the model that answers.
+	HeaderVersion = "X-Model-Version"
+)
+
+func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
+	var call chatCall
+	if !decode(w, r, &call) {
+		return
+	}
+	if call.MaxTokens <= 0 {
+		call.MaxTokens = defaultMaxTokens
+	}
+	priority, _ := strconv.Atoi(r.Header.Get(HeaderPriority))
+	seq := e.admit(call, r.Header.Get(HeaderRequest), priority)
+	if seq == nil {
+		http.Error(w, "the engine is down", http.StatusServiceUnavailable)
+		return
+	}
+	defer e.drop(seq)
+	offset, _ := strconv.Atoi(r.Header.Get(HeaderResume))
+	w.Header().Set(HeaderVersion, EngineVersion)
+	if call.Stream {
+		e.stream(w, r, call, seq, offset)
+		return
+	}
+	e.whole(w, r, call, seq)
+}
+
+// admit puts a request into the batch. More than the engine bears makes it
+// fall over.
+func (e *Engine) admit(call chatCall, id string, priority int) *sequence {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if now.Before(e.downUntil) {
+		return nil
+	}
+	prompt := call.prompt()
+	if e.faults.CrashOn != "" && strings.Contains(prompt, e.faults.CrashOn) {
+		e.fall()
+		return nil
+	}
+	seq := &sequence{
+		id:       id,
+		priority: priority,
+		starts:   now,
+		left:     call.MaxTokens,
+		tokens:   make(chan struct{}, 16),
+		failed:   make(chan struct{}),
+	}
+	if !e.cached(prompt, now) {
+		seq.starts = now.Add(e.spec.Prefill)
+	}
+	e.batch = append(e.batch, seq)
+	slices.SortStableFunc(e.batch, func(a, b *sequence) int { return cmp.Compare(b.priority, a.priority) })
+	e.counts.Peak = max(e.counts.Peak, len(e.batch))
+	if len(e.batch) > e.bears() {
+		e.fall()
+	}
+	return seq
+}
+
+// prefixLength is how many bytes of a prompt make one entry of the cache.
+const prefixLength = 64
+
+// cached reports whether the prompt's prefix is in the cache and puts it there.
+func (e *Engine) cached(prompt string, now time.Time) bool {
+	prefix := strconv.FormatUint(xxhash.Sum64String(prompt[:min(len(prompt), prefixLength)]), 16)
+	at := slices.Index(e.cache, prefix)
+	if at >= 0 {
+		e.cache = append(slices.Delete(e.cache, at, at+1), prefix)
+		return true
+	}
+	e.cache = append(e.cache, prefix)
+	e.publish("stored", prefix, now)
+	if len(e.cache) > e.spec.CacheEntries {
+		e.publish("evicted", e.cache[0], now)
+		e.cache = e.cache[1:]
+	}
+	return false
+}
+
+// lostEvent says that each event whose number divides by it is never published.
+const lostEvent = 7
+
+func (e *Engine) publish(op, prefix string, now time.Time) {
+	e.eventSeq++
+	if e.eventSeq%lostEvent != 0 {
+		e.events = append(e.events, cacheEvent{Sequence: e.eventSeq, Op: op, Prefix: prefix, at: now})
+	}
+}
+
+// drop takes a request out of the batch, if it is still there.
+func (e *Engine) drop(seq *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if at := slices.Index(e.batch, seq); at >= 0 {
+		e.batch = slices.Delete(e.batch, at, at+1)
+		e.counts.Cancelled++
+	}
+}
+
+// token returns the text of the nth token of an answer, which depends on the
+// prompt alone, so that an answer can be told from another one and resumed.
+func token(prompt string, n int) string {
+	return fmt.Sprintf("%x.%d ", xxhash.Sum64String(prompt)&0xffff, n)
+}
+
+// Answer returns the whole text that an engine gives for a prompt of one user
+// message.
+func Answer(content string, tokens int) string {
+	prompt := "user: " + content + "\n"
+	var text strings.Builder
+	for n := range tokens {
+		text.WriteString(token(prompt, n))
+	}
+	return text.String()
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, call chatCall, seq *sequence, offset int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(w)
+	if controller.Flush() != nil {
+		return
+	}
+	prompt := call.prompt()
+	sent := 0
+	write := func(piece string) {
+		skip := min(max(0, offset-sent), len(piece))
+		sent += len(piece)
+		if skip < len(piece) {
+			_, _ = w.Write([]byte(piece[skip:]))
+			_ = controller.Flush()
+		}
+	}
+	for n := 0; ; n++ {
+		select {
+		case _, ok := <-seq.tokens:
+			if !ok {
+				write("data: [DONE]\n\n")
+				return
+			}
+			write(streamChunk(seq.id, call.Model, token(prompt, n)))
+		case <-seq.failed:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func streamChunk(id, model, text string) string {
+	chunk := map[string]any{
+		"id":      "chatcmpl-" + id,
+		"object":  "chat.completion.chunk",
+		"model":   model,
+		"choices": []any{map[string]any{"index": 0, "delta": map[string]any{"content": text}}},
+	}
+	encoded, _ := json.Marshal(chunk)
+	return "data: " + string(encoded) + "\n\n"
+}
+
+func (e *Engine) whole(w http.ResponseWriter, r *http.Request, call chatCall, seq *sequence) {
+	prompt := call.prompt()
+	var text strings.Builder
+	for n := 0; ; n++ {
+		select {
+		case _, ok := <-seq.tokens:
+			if !ok {
+				answer(w, map[string]any{
+					"id":     "chatcmpl-" + seq.id,
+					"object": "chat.completion",
+					"model":  call.Model,
+					"choices": []any{map[string]any{
+						"index":         0,
+						"message":       map[string]any{"role": "assistant", "content": text.String()},
+						"finish_reason": "stop",
+					}},
+					"usage": map[string]any{"completion_tokens": n},
+				})
+				return
+			}
+			text.WriteString(token(prompt, n))
+		case <-seq.failed:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	load := e.loadNow(time.Now())
+	if len(e.history) > 0 {
+		lagging := e.history[0].load
+		load.Running = lagging.Running
+	}
+	answer(w, load)
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	published := time.Now().Add(-e.spec.ReportLag)
+	events := []cacheEvent{}
+	for _, event := range e.events {
+		if event.Sequence > after && event.at.Before(published) {
+			events = append(events, event)
+		}
+	}
+	answer(w, map[string]any{"events": events})
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	var call struct {
+		Request string `json:"request"`
+	}
+	if !decode(w, r, &call) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, seq := range e.batch {
+		if seq.id == call.Request {
+			close(seq.failed)
+		}
+	}
+	e.batch = slices.DeleteFunc(e.batch, func(seq *sequence) bool { return seq.id == call.Request })
+	answer(w, map[string]bool{"cancelled": true})
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var call struct {
+		Fence uint64 `json:"fence"`
+		Order string `json:"order"`
+	}
+	if !decode(w, r, &call) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.spec.ChecksFence && call.Fence < e.fence {
+		http.Error(w, "the fencing number is old", http.StatusConflict)
+		return
+	}
+	e.fence = max(e.fence, call.Fence)
+	e.orders = append(e.orders, call.Order)
+	answer(w, map[string]any{"orders": e.orders})
+}
+
+func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults EngineFaults
+	if decode(w, r, &faults) {
+		e.SetFaults(faults)
+		answer(w, faults)
+	}
+}
+
+// SetFaults replaces the orders to misbehave.
+func (e *Engine) SetFaults(faults EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if faults.Fall {
+		e.fall()
+	}
+	if faults.Cold {
+		e.since = 0
+		e.cache = nil
+	}
+	e.faults = faults
+}
+
+func (e *Engine) getCounts(w http.ResponseWriter, _ *http.Request) { answer(w, e.Counts()) }
+
+// Counts returns what the engine has counted.
+func (e *Engine) Counts() EngineCounts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	counts := e.counts
+	counts.Running = len(e.batch)
+	return counts
+}
--- /dev/null
+++ b/pkg/admit/gate.go
@@ -0,0 +1,305 @@
+package admit
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of a Gate. All of them mean that nothing has run.
+var (
+	// ErrBusy says that no credit came free in time.
+	ErrBusy = eris.New("the endpoint is busy")
+	// ErrClosed says that the gate hands out no more credits.
+	ErrClosed = eris.New("the endpoint takes no new work")
+	// ErrLapsed says that the credit is no longer valid.
+	ErrLapsed = eris.New("the credit has lapsed")
+)
+
+// DefaultCreditLease is how long a credit stays valid without being used.
+const DefaultCreditLease = 2 * time.Second
+
+// maxRetired is how many credits that ended unused a gate remembers, so that a
+// late Revoke still gets a definite answer.
+const maxRetired = 4096
+
+// creditState is what has become of a credit that the gate still counts.
+type creditState struct {
+	started bool
+	lapses  time.Time
+}
+
+// waiter is a call of Acquire that waits for room.
+type waiter struct {
+	priority int
+	order    uint64
+	credit   chan uint64
+}
+
+// Gate hands out credits for the work of one endpoint. Use NewGate.
+type Gate struct {
+	lease time.Duration
+	now   func() time.Time
+
+	mu       sync.Mutex
+	capacity int
+	closed   bool
+	next     uint64
+	credits  map[uint64]creditState
+	running  int
+	retired  map[uint64]bool
+	retiring []uint64
+	waiters  []*waiter
+	arrivals uint64
+}
+
+// GateOption changes a Gate.
+type GateOption func(*Gate)
+
+// WithCreditLease sets how long a credit stays valid without being used.
+func WithCreditLease(lease time.Duration) GateOption {
+	return func(g *Gate) { g.lease = lease }
+}
+
+// WithClock sets the clock, for tests.
+func WithClock(now func() time.Time) GateOption {
+	return func(g *Gate) { g.now = now }
+}
+
+// NewGate returns an open gate with the given capacity.
+func NewGate(capacity int, options ...GateOption) *Gate {
+	gate := &Gate{
+		lease:    DefaultCreditLease,
+		now:      time.Now,
+		capacity: capacity,
+		credits:  make(map[uint64]creditState),
+		retired:  make(map[uint64]bool),
+	}
+	for _, option := range options {
+		option(gate)
+	}
+	return gate
+}
+
+// Lease returns how long a credit stays valid without being used.
+func (g *Gate) Lease() time.Duration { return g.lease }
+
+// Acquire returns a credit. If there is none it waits until ctx ends; higher
+// priorities go first, and within a priority those who came first.
+func (g *Gate) Acquire(ctx context.Context, priority int) (uint64, error) {
+	g.mu.Lock()
+	if g.closed {
+		g.mu.Unlock()
+		return 0, ErrClosed
+	}
+	g.sweep()
+	if len(g.waiters) == 0 && len(g.credits) < g.capacity {
+		credit := g.grant()
+		g.mu.Unlock()
+		return credit, nil
+	}
+	if ctx.Err() != nil {
+		g.mu.Unlock()
+		return 0, ErrBusy
+	}
+	self := g.enqueue(priority)
+	g.mu.Unlock()
+	return g.wait(ctx, self)
+}
+
+func (g *Gate) enqueue(priority int) *waiter {
+	g.arrivals++
+	self := &waiter{priority: priority, order: g.arrivals, credit: make(chan uint64, 1)}
+	at, _ := slices.BinarySearchFunc(g.waiters, self, func(a, b *waiter) int {
+		return cmp.Or(cmp.Compare(b.priority, a.priority), cmp.Compare(a.order, b.order))
+	})
+	g.waiters = slices.Insert(g.waiters, at, self)
+	return self
+}
+
+// wait blocks until self gets a credit, ctx ends or the gate closes. Credits
+// that lapse without a call of the gate come free at the next sweep.
+func (g *Gate) wait(ctx context.Context, self *waiter) (uint64, error) {
+	ticker := time.NewTicker(g.lease / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case credit, ok := <-self.credit:
+			if !ok {
+				return 0, ErrClosed
+			}
+			return credit, nil
+		case <-ticker.C:
+			g.Sweep()
+		case <-ctx.Done():
+			return g.leave(self)
+		}
+	}
+}
+
+// leave takes self out of the queue. A credit that was granted meanwhile is
+// still the caller's.
+func (g *Gate) leave(self *waiter) (uint64, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case credit, ok := <-self.credit:
+		if !ok {
+			return 0, ErrClosed
+		}
+		return credit, nil
+	default:
+	}
+	g.waiters = slices.DeleteFunc(g.waiters, func(w *waiter) bool { return w == self })
+	return 0, ErrBusy
+}
+
+// grant makes a credit. The caller holds the lock and has checked for room.
+func (g *Gate) grant() uint64 {
+	g.next++
+	g.credits[g.next] = creditState{lapses: g.now().Add(g.lease)}
+	return g.next
+}
+
+// Start turns a credit into running work. It fails with ErrLapsed if the credit
+// has lapsed, was revoked or has been started before.
+func (g *Gate) Start(credit uint64) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sweep()
+	state, ok := g.credits[credit]
+	if !ok || state.started {
+		return ErrLapsed
+	}
+	state.started = true
+	g.credits[credit] = state
+	g.running++
+	return nil
+}
+
+// Finish gives back a credit, whether it was started or not.
+func (g *Gate) Finish(credit uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state, ok := g.credits[credit]
+	if !ok {
+		return
+	}
+	delete(g.credits, credit)
+	if state.started {
+		g.running--
+	} else {
+		g.retire(credit)
+	}
+	g.serve()
+}
+
+// Revoke makes sure that an unstarted credit is never started. It reports
+// whether the credit has been started, and true also if the gate can't tell.
+func (g *Gate) Revoke(credit uint64) (started bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.retired[credit] {
+		return false
+	}
+	state, ok := g.credits[credit]
+	if !ok || state.started {
+		return true
+	}
+	delete(g.credits, credit)
+	g.retire(credit)
+	g.serve()
+	return false
+}
+
+func (g *Gate) retire(credit uint64) {
+	g.retired[credit] = true
+	g.retiring = append(g.retiring, credit)
+	if len(g.retiring) > maxRetired {
+		delete(g.retired, g.retiring[0])
+		g.retiring = g.retiring[1:]
+	}
+}
+
+// Sweep frees the credits that have lapsed.
+func (g *Gate) Sweep() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sweep()
+}
+
+func (g *Gate) sweep() {
+	now := g.now()
+	for credit, state := range g.credits {
+		if !state.started && now.After(state.lapses) {
+			delete(g.credits, credit)
+			g.retire(credit)
+		}
+	}
+	g.serve()
+}
+
+// serve gives free credits to those who wait.
+func (g *Gate) serve() {
+	for len(g.waiters) > 0 && len(g.credits) < g.capacity {
+		first := g.waiters[0]
+		g.waiters = g.waiters[1:]
+		first.credit <- g.grant()
+	}
+}
+
+// SetCapacity changes how many credits may be out. Work that runs already goes
+// on; nothing new starts until the sum is below the capacity.
+func (g *Gate) SetCapacity(capacity int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.capacity = capacity
+	g.serve()
+}
+
+// Close refuses all new credits from now on. Credits that are out stay valid.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	for _, w := range g.waiters {
+		close(w.credit)
+	}
+	g.waiters = nil
+}
+
+// Usage is a Gate's state at one moment.
+type Usage struct {
+	capacity int
+	granted  int
+	running  int
+	waiting  int
+}
+
+// Capacity returns how many credits may be out.
+func (u Usage) Capacity() int { return u.capacity }
+
+// Taken returns how many credits are out, started or not.
+func (u Usage) Taken() int { return u.granted + u.running }
+
+// Running returns how many credits have been started.
+func (u Usage) Running() int { return u.running }
+
+// Waiting returns how many calls of Acquire wait.
+func (u Usage) Waiting() int { return u.waiting }
+
+// Usage returns the gate's state.
+func (g *Gate) Usage() Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Usage{
+		capacity: g.capacity,
+		granted:  len(g.credits) - g.running,
+		running:  g.running,
+		waiting:  len(g.waiters),
+	}
+}
--- /dev/null
+++ b/pkg/quorum/round.go
@@ -0,0 +1,90 @@
+package quorum
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lentilstand/lentilstand/pkg/chain"
+)
+
+// Verdict is what a Round says should be done now.
+type Verdict int
+
+// The verdicts of a round.
+const (
+	// Wait says that it isn't time yet.
+	Wait Verdict = iota
+	// Commit says that the pending mark may become the head.
+	Commit
+	// Abandon says that the round has taken too long and should be given up.
+	Abandon
+)
+
+// Round is the acceptance of one pending mark by the entry that watches over it.
+// Use NewRound.
+type Round struct {
+	timing   Timing
+	head     chain.Mark
+	pending  chain.Mark
+	written  time.Time
+	bound    time.Duration
+	majority time.Time
+}
+
+// NewRound returns the round of a pending mark that is known to have been
+// written by the time written. It is given up if no majority knows the mark
+// within bound.
+func NewRound(timing Timing, view View, written time.Time, bound time.Duration) *Round {
+	return &Round{timing: timing, head: view.head, pending: view.pending, written: written, bound: bound}
+}
+
+// Missing returns the voters that aren't known to know the pending mark.
+func (r *Round) Missing(node *Node) []string {
+	var missing []string
+	for _, voter := range r.head.Voters() {
+		if !node.Knows(voter, r.pending.Term()) {
+			missing = append(missing, voter)
+		}
+	}
+	return missing
+}
+
+// Decide returns what should be done now, by what the node knows of its peers.
+func (r *Round) Decide(node *Node, now time.Time) Verdict {
+	knows := func(voter string) bool { return node.Knows(voter, r.pending.Term()) }
+	if !slices.ContainsFunc(r.head.Voters(), func(voter string) bool { return !knows(voter) }) {
+		return Commit
+	}
+	if r.majority.IsZero() && isMajority(r.head.Voters(), knows) {
+		r.majority = now
+	}
+	if r.majority.IsZero() {
+		if now.Sub(r.written) > r.bound {
+			return Abandon
+		}
+		return Wait
+	}
+	silent := r.written.Add(r.timing.fresh + r.timing.slack)
+	outvoted := r.majority.Add(r.timing.evidence + r.timing.slack)
+	if now.Before(silent) || now.Before(outvoted) {
+		return Wait
+	}
+	return Commit
+}
+
+// Committed returns the mark that makes the pending version the head.
+func (r *Round) Committed() chain.Mark {
+	return chain.NewMark(r.pending.Term(), r.pending.Number(), r.pending.Hash(), r.pending.Voters(), r.pending.By())
+}
+
+// Abandoned returns the mark that gives up the pending version: the head again,
+// with a term above the pending one's.
+func (r *Round) Abandoned() chain.Mark {
+	return chain.NewMark(r.pending.Term()+1, r.head.Number(), r.head.Hash(), r.head.Voters(), r.head.By())
+}
+
+// Pending returns the mark that the round is about.
+func (r *Round) Pending() chain.Mark { return r.pending }
+
+// Head returns the mark that was in force when the round began.
+func (r *Round) Head() chain.Mark { return r.head }
