pkg/admit: a cold phase before the ramp opens

Cause: the first run of a hundred mixed requests over separate processes had chats that ended with 502: an engine fell over. The ramp opened one place for each completion from the first one on, so a cold engine that bears 2 got 3 after two completions. Ruled out: credits above capacity (the gate's sum was kept), a wrong load report. Change: a Ramp keeps to the cold capacity until enough completions came in time; both are settings of the agent with cautious defaults (1 and 16). The first-level subcommand is chosen by field, since the parser names the deepest one; stand-ins printed help instead of starting. Conclusion: capacity must come from completed work and from what operators know of a cold engine.

--- a/cmd/lentilstand/main.go
+++ b/cmd/lentilstand/main.go
@@ -71,14 +71,33 @@
 		fmt.Fprintln(errs, "error:", err)
 		return exitUsage
 	}
-	chosen, ok := parser.Subcommand().(command)
-	if !ok {
-		_ = parser.WriteHelpForSubcommand(errs, parser.SubcommandNames()...)
+	chosen := parsed.chosen()
+	if chosen == nil {
+		parser.WriteHelp(errs)
 		return exitUsage
 	}
 	return chosen.run(ctx, out, errs)
 }
 
+// chosen returns the first-level subcommand that was given, nil if none was.
+func (a *arguments) chosen() command {
+	switch {
+	case a.Entry != nil:
+		return a.Entry
+	case a.Agent != nil:
+		return a.Agent
+	case a.Patch != nil:
+		return a.Patch
+	case a.Status != nil:
+		return a.Status
+	case a.StandIn != nil:
+		return a.StandIn
+	case a.Demo != nil:
+		return a.Demo
+	}
+	return nil
+}
+
 // badSettings prints what is wrong with the settings.
 func badSettings(errs io.Writer, err error) int {
 	fmt.Fprintln(errs, err)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -70,7 +70,8 @@
 		meter:       metrics,
 		incarnation: uuid.NewString(),
 		gate:        admit.NewGate(0),
-		ramp:        admit.NewRamp(settings.Capacity(), settings.FirstByte()),
+		ramp:        admit.NewRamp(settings.Capacity(), settings.FirstByte(),
+			admit.WithCold(settings.ColdCapacity(), settings.WarmAfter())),
 		client:      newEndpointClient(),
 		changed:     make(chan struct{}),
 	}
--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/lentilstand/lentilstand/pkg/admit"
 	"github.com/lentilstand/lentilstand/pkg/config"
 	"github.com/lentilstand/lentilstand/pkg/diag"
 	"github.com/lentilstand/lentilstand/pkg/jsonc"
@@ -157,6 +158,8 @@
 	admin     string
 	endpoint  string
 	capacity  int
+	cold      int
+	warmAfter int
 	firstByte time.Duration
 	stopBound time.Duration
 	level     zapcore.Level
@@ -177,6 +180,8 @@
 		admin:     address(object, "admin_listen"),
 		endpoint:  address(object, "endpoint"),
 		capacity:  int(object.Int("capacity", 1, maxCapacity)),
+		cold:      int(object.IntOr("cold_capacity", admit.DefaultColdCapacity, 1, maxCapacity)),
+		warmAfter: int(object.IntOr("warm_after", admit.DefaultWarmAfter, 0, maxCapacity)),
 		firstByte: time.Duration(object.IntOr("first_byte_ms", defaultFirstByte.Milliseconds(), 1, maxBoundMS)) * time.Millisecond,
 		stopBound: seconds(object, "stop_bound_s", defaultStopBound),
 		level:     logLevel(object),
@@ -204,6 +209,12 @@
 // Capacity returns how many requests the warm endpoint bears at a time.
 func (a Agent) Capacity() int { return a.capacity }
 
+// ColdCapacity returns how many requests the cold endpoint bears at a time.
+func (a Agent) ColdCapacity() int { return a.cold }
+
+// WarmAfter returns how many completions in time make the endpoint warm.
+func (a Agent) WarmAfter() int { return a.warmAfter }
+
 // FirstByte returns the time within which a first byte counts as in time.
 func (a Agent) FirstByte() time.Duration { return a.firstByte }
 
--- a/pkg/admit/ramp.go
+++ b/pkg/admit/ramp.go
@@ -7,9 +7,11 @@
 
 // Defaults of a Ramp.
 const (
-	// DefaultStartCapacity is the capacity of an endpoint that has proved
-	// nothing yet.
-	DefaultStartCapacity = 1
+	// DefaultColdCapacity is how many requests a cold endpoint is given at a
+	// time.
+	DefaultColdCapacity = 1
+	// DefaultWarmAfter is how many completions in time end the cold phase.
+	DefaultWarmAfter = 16
 	// coldFactor is how many times longer than usual a first byte must take
 	// for the endpoint to count as cold again.
 	coldFactor = 4
@@ -20,26 +22,45 @@
 )
 
 // Ramp works out the capacity of an endpoint from what it has completed since
-// it started. Each completion in time opens one more place, so the capacity
-// doubles for each round of completed work; a new start epoch or a jump in
-// first-byte times closes it at once. Use NewRamp.
+// it started. A cold endpoint gets little until it has completed enough in time;
+// from then on each completion opens one more place, so the capacity doubles for
+// each round of completed work. A new start epoch or a jump in first-byte times
+// closes it at once. Use NewRamp.
 type Ramp struct {
-	start int
-	limit int
-	bound time.Duration
-
-	mu       sync.Mutex
-	epoch    string
-	capacity int
-	average  time.Duration
-	late     int
+	cold      int
+	warmAfter int
+	limit     int
+	bound     time.Duration
+
+	mu        sync.Mutex
+	epoch     string
+	capacity  int
+	completed int
+	average   time.Duration
+	late      int
+}
+
+// RampOption changes a Ramp.
+type RampOption func(*Ramp)
+
+// WithCold sets how many requests a cold endpoint is given at a time, and how
+// many completions in time end the cold phase.
+func WithCold(capacity, completions int) RampOption {
+	return func(r *Ramp) {
+		r.cold = capacity
+		r.warmAfter = completions
+	}
 }
 
 // NewRamp returns a ramp that ends at limit requests at a time and counts a
 // first byte as in time if it came within bound.
-func NewRamp(limit int, bound time.Duration) *Ramp {
-	start := min(DefaultStartCapacity, limit)
-	return &Ramp{start: start, limit: limit, bound: bound, capacity: start}
+func NewRamp(limit int, bound time.Duration, options ...RampOption) *Ramp {
+	r := &Ramp{cold: DefaultColdCapacity, warmAfter: DefaultWarmAfter, limit: limit, bound: bound}
+	for _, option := range options {
+		option(r)
+	}
+	r.restart()
+	return r
 }
 
 // Capacity returns how many requests the endpoint may run now.
@@ -64,7 +85,8 @@
 }
 
 func (r *Ramp) restart() {
-	r.capacity = r.start
+	r.capacity = min(r.cold, r.limit)
+	r.completed = 0
 	r.average = 0
 	r.late = 0
 }
@@ -74,7 +96,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.limit = limit
-	r.start = min(DefaultStartCapacity, limit)
 	r.capacity = min(r.capacity, limit)
 }
 
@@ -82,7 +103,7 @@
 func (r *Ramp) Fail() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.capacity = max(r.start, r.capacity/2)
+	r.capacity = max(min(r.cold, r.limit), r.capacity/2)
 }
 
 // Complete takes note of a request whose first byte came after the given time.
@@ -101,11 +122,19 @@
 		return true
 	}
 	if firstByte <= r.bound && r.late == 0 {
-		r.capacity = min(r.limit, r.capacity+1)
+		r.open()
 	}
 	return false
 }
 
+// open takes note of a completion in time.
+func (r *Ramp) open() {
+	r.completed++
+	if r.completed >= r.warmAfter {
+		r.capacity = min(r.limit, r.capacity+1)
+	}
+}
+
 // jumped reports whether the time is both past the bound and far from usual.
 func (r *Ramp) jumped(firstByte time.Duration) bool {
 	return r.average > 0 && firstByte > r.bound && firstByte > coldFactor*r.average
