internal/webio: no pools of goroutines behind the parser

Cause: goleak found two task pools of nbhttp for each server; the engine is used for its parser only. Change: the engine gets an executor that runs in place.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -70,10 +70,10 @@
 		meter:       metrics,
 		incarnation: uuid.NewString(),
 		gate:        admit.NewGate(0),
-		ramp:        admit.NewRamp(settings.Capacity(), settings.FirstByte(),
+		ramp: admit.NewRamp(settings.Capacity(), settings.FirstByte(),
 			admit.WithCold(settings.ColdCapacity(), settings.WarmAfter())),
-		client:      newEndpointClient(),
-		changed:     make(chan struct{}),
+		client:  newEndpointClient(),
+		changed: make(chan struct{}),
 	}
 	a.attempts = metrics.Counter("lentilstand_attempts", "Attempts by what became of them.", "result")
 	a.firstBytes = metrics.Histogram("lentilstand_first_byte", "Time until the endpoint's first byte.", "service")
--- a/internal/webio/server.go
+++ b/internal/webio/server.go
@@ -86,6 +86,9 @@
 		ReadLimit:       MaxHeaderBytes + MaxBodyBytes + readBufferBytes,
 		MaxHTTPBodySize: MaxBodyBytes,
 		KeepaliveTime:   IdleTimeout,
+		// The engine never runs by itself, so it needs no pools of goroutines.
+		SupportServerOnly: true,
+		ServerExecutor:    func(run func()) { run() },
 	})
 	return s
 }
