--- a/pkg/quorum/round.go
+++ b/pkg/quorum/round.go
@@ -66,7 +66,7 @@
 	}
 	silent := r.written.Add(r.timing.fresh + r.timing.slack)
 	outvoted := r.majority.Add(r.timing.evidence + r.timing.slack)
-	if now.Before(silent) || now.Before(outvoted) {
+	if !now.After(silent) || !now.After(outvoted) {
 		return Wait
 	}
 	return Commit
