--- a/cmd/lentilstand/fault_test.go
+++ b/cmd/lentilstand/fault_test.go
@@ -232,9 +232,9 @@
 	leaving := f.Entries["entry-2"]
 	leaving.Signal(syscall.SIGTERM)
 	require.Zero(t, leaving.Wait(15*time.Second), leaving.Log())
-	delete(f.Entries, "entry-2")
 	time.Sleep(500 * time.Millisecond)
 	callers.end(t)
+	delete(f.Entries, "entry-2")
 	f.Eventually("the vote to be given up", func() bool {
 		status, ok := f.Status(f.Entries["entry-1"])
 		return ok && len(status.Voters) == 2
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -90,6 +90,7 @@
 	"path_overhead":      (*Run).pathOverhead,
 	"slow_reader_memory": (*Run).slowReaderMemory,
 	"data_centre_cycle":  (*Run).dataCentreCycle,
+	"step_time_skew":     (*Run).stepTimeSkew,
 }
 
 // Names returns the names of all measures.
--- a/internal/probe/readers.go
+++ b/internal/probe/readers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"time"
 
@@ -130,7 +131,7 @@
 
 // heldWhile returns by how much live bytes grow while slow readers read.
 func heldWhile(address, request string, count int, length time.Duration) (float64, error) {
-	before := liveBytes()
+	before := settledBytes()
 	stop := make(chan struct{})
 	wait, err := slowReaders(address, request, count, stop)
 	time.Sleep(length)
@@ -140,6 +141,17 @@
 	return held, err
 }
 
+// settledBytes returns the live bytes after what earlier parts of the run have
+// left behind is gone.
+func settledBytes() float64 {
+	const rounds, pause = 5, 200 * time.Millisecond
+	for range rounds {
+		time.Sleep(pause)
+		runtime.GC()
+	}
+	return liveBytes()
+}
+
 // heldByDefault returns the live bytes that slow readers hold in a server of
 // nbhttp with its default settings that writes the same answer.
 func heldByDefault(count, tokens int, length time.Duration) (float64, error) {
--- /dev/null
+++ b/internal/probe/skew.go
@@ -0,0 +1,204 @@
+package probe
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gonum.org/v1/plot/plotter"
+
+	"github.com/lentilstand/lentilstand/internal/plots"
+	"github.com/lentilstand/lentilstand/pkg/place"
+)
+
+// The group of step_time_skew: one layer at the size to design for.
+const (
+	skewRanks     = 64
+	skewExperts   = 128
+	skewSlots     = 3
+	skewSteps     = 6000
+	stepTime      = 50 * time.Millisecond
+	tokensPerStep = 16_384
+	// countLate is how many steps late counts come, and countGap which share of
+	// them never comes.
+	countLate = 20
+	countGap  = 0.1
+	// planEvery is how many steps lie between two plans.
+	planEvery = 200
+	// expertBytes is the size of an expert, and storeRate what the weight store
+	// gives a group in bytes a second.
+	expertBytes = 44e6
+	storeRate   = 200e6
+	planHorizon = 300.0
+	halfLife    = 5 * time.Second
+)
+
+// drift gives the popularity of experts at a step.
+type drift struct {
+	name string
+	at   func(base []float64, step int) []float64
+}
+
+var drifts = []drift{
+	{"slow", func(base []float64, step int) []float64 {
+		loads := slices.Clone(base)
+		for i := range loads {
+			phase := 2 * math.Pi * (float64(step)/skewSteps + float64(i)/skewExperts)
+			loads[i] *= math.Exp(0.8 * math.Sin(phase))
+		}
+		return loads
+	}},
+	{"favourite", func(base []float64, step int) []float64 {
+		loads := slices.Clone(base)
+		if step > skewSteps/3 {
+			loads[7] += 0.05 * sum(base)
+		}
+		return loads
+	}},
+	{"daily", func(base []float64, step int) []float64 {
+		loads := slices.Clone(base)
+		share := (1 - math.Cos(2*math.Pi*float64(step)*3/skewSteps)) / 2
+		for i := range loads {
+			loads[i] = (1-share)*base[i] + share*base[len(base)-1-i]
+		}
+		return loads
+	}},
+	{"noise", func(base []float64, _ int) []float64 { return base }},
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, value := range values {
+		total += value
+	}
+	return total
+}
+
+// keeper is a way to keep the map of a group.
+type keeper struct {
+	name string
+	plan func(current *place.Map, forecast []float64) *place.Map
+}
+
+var keepers = []keeper{
+	{"static", func(current *place.Map, _ []float64) *place.Map { return current }},
+	{"greedy", func(_ *place.Map, forecast []float64) *place.Map { return place.Greedy(forecast, skewRanks, skewSlots) }},
+	{"fresh", func(_ *place.Map, forecast []float64) *place.Map { return place.Fresh(forecast, skewRanks, skewSlots) }},
+	{"improve", func(current *place.Map, forecast []float64) *place.Map {
+		improved, _ := place.Improve(current, forecast, place.NewPrice(expertBytes/storeRate, planHorizon))
+		return improved
+	}},
+}
+
+// kept is what a keeper made of a drift.
+type kept struct {
+	skews   []float64
+	moved   int
+	planned time.Duration
+	plans   int
+	series  plotter.XYs
+}
+
+func (k *kept) quantile(q float64) float64 {
+	sorted := slices.Clone(k.skews)
+	slices.Sort(sorted)
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+// stepTimeSkew compares ways to keep the map of a group over drifting
+// popularity.
+func (r *Run) stepTimeSkew(context.Context) error {
+	steps := skewSteps
+	if r.brief {
+		steps = 2 * planEvery
+	}
+	for _, d := range drifts {
+		var static *kept
+		var lines []plots.Line
+		for _, way := range keepers {
+			k := r.keep(d, way, steps)
+			if static == nil {
+				static = k
+			}
+			name := d.name + "_" + way.name
+			for _, q := range []float64{0.5, 0.95, 0.99} {
+				r.compare(fmt.Sprintf("%s_p%.0f", name, 100*q), "fullest over mean", k.quantile(q), static.quantile(q), "")
+			}
+			r.report(name+"_moved_bytes", "byte", float64(k.moved)*expertBytes, "")
+			r.report(name+"_plan_time", "ms", k.planned.Seconds()*1000/float64(max(1, k.plans)), "10")
+			lines = append(lines, plots.NewLine(way.name, k.series))
+		}
+		r.plotLines("step_time_skew: "+d.name, "step", "fullest over mean", lines...)
+	}
+	return nil
+}
+
+// keep runs one way over one drift. Counts are drawn at random, come late and
+// with gaps; a new map is used once its experts have been loaded, and no step
+// waits for them.
+func (r *Run) keep(d drift, way keeper, steps int) *kept {
+	random := rand.New(rand.NewPCG(r.seed, 3))
+	base := zipfLoads(random)
+	forecast := place.NewForecast(skewExperts, halfLife)
+	began := time.Unix(0, 0)
+	current := place.Fresh(d.at(base, 0), skewRanks, skewSlots)
+	k := &kept{}
+	var next *place.Map
+	ready := 0
+	for step := range steps {
+		if next != nil && step >= ready {
+			current, next = next, nil
+		}
+		loads := counts(random, d.at(base, step))
+		k.skews = append(k.skews, current.Skew(loads))
+		if step%(planEvery/4) == 0 {
+			k.series = append(k.series, plotter.XY{X: float64(step), Y: current.Skew(d.at(base, step))})
+		}
+		if step >= countLate && random.Float64() >= countGap {
+			late := step - countLate
+			forecast.Observe(counts(random, d.at(base, late)), began.Add(time.Duration(late)*stepTime))
+		}
+		if step%planEvery == planEvery-1 && next == nil {
+			next, ready = k.planNext(way, current, forecast.Loads(), step)
+		}
+	}
+	return k
+}
+
+// planNext makes a plan and returns the map with the step at which its experts
+// have been loaded, or nil if nothing changes.
+func (k *kept) planNext(way keeper, current *place.Map, loads []float64, step int) (*place.Map, int) {
+	began := time.Now()
+	planned := way.plan(current, loads)
+	k.planned += time.Since(began)
+	k.plans++
+	moved := planned.Moved(current)
+	if moved == 0 {
+		return nil, 0
+	}
+	k.moved += moved
+	loading := float64(moved) * expertBytes / storeRate
+	return planned, step + int(math.Ceil(loading/stepTime.Seconds()))
+}
+
+func zipfLoads(random *rand.Rand) []float64 {
+	loads := make([]float64, skewExperts)
+	for i, at := range random.Perm(skewExperts) {
+		loads[at] = 1 / math.Pow(float64(i+4), 0.8)
+	}
+	return loads
+}
+
+// counts draws how many of a step's tokens go to each expert.
+func counts(random *rand.Rand, loads []float64) []float64 {
+	total := sum(loads)
+	drawn := make([]float64, len(loads))
+	for i, load := range loads {
+		mean := load / total * tokensPerStep
+		drawn[i] = max(0, mean+math.Sqrt(mean)*random.NormFloat64())
+	}
+	return drawn
+}
