pkg/crash: requests that kill endpoints run alone, then not at all

Cause: a request that crashes each endpoint it runs on, sent again by its caller, killed one endpoint after the other; only the budget of retries slowed it. Ruled out: counting deaths at one entry (callers change entries), convicting at the first death (innocent neighbours die with it). Agents say in the end of an attempt whether their endpoint died. Found by the test on the way: answers were never resumed, since the stand-in didn't confirm the offset; and a team without successes yet had 3 retries, fewer than it had streams on a dying endpoint (10 now).

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -85,10 +85,10 @@
 			flow.take(message.GetWindow().GetOffset())
 		}
 	}()
-	began := time.Now()
+	began, epoch := time.Now(), a.currentEpoch()
 	response, err := a.callEndpoint(ctx, attempt)
 	if err != nil {
-		a.fail(stream, attempt, err)
+		a.fail(ctx, stream, attempt, epoch, err)
 		return
 	}
 	defer response.Body.Close()
@@ -101,7 +101,7 @@
 	if stream.Write(headOf(attempt, response)) != nil {
 		return
 	}
-	r := &relay{agent: a, stream: stream, attempt: attempt, flow: flow, began: began}
+	r := &relay{agent: a, stream: stream, attempt: attempt, flow: flow, began: began, epoch: epoch}
 	r.run(ctx, response.Body)
 }
 
@@ -123,7 +123,7 @@
 
 // fail tells the entry of an attempt that has no answer. Only where the
 // endpoint couldn't be connected to is it certain that nothing ran.
-func (a *Agent) fail(stream *link.Stream, attempt *wirepb.Attempt, err error) {
+func (a *Agent) fail(ctx context.Context, stream *link.Stream, attempt *wirepb.Attempt, epoch string, err error) {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		a.attempts.Add(1, "refused")
@@ -133,7 +133,25 @@
 	a.attempts.Add(1, "failed")
 	a.ramp.Fail()
 	event.AttemptFailed.Log(a.logger, zap.String("request", attempt.GetRequest()), zap.Error(err))
-	_ = stream.Write(endOf(attempt, 0, "the endpoint gave no answer"))
+	end := endOf(attempt, 0, "the endpoint gave no answer")
+	end.GetEnd().Died = ctx.Err() == nil && a.hasDied(epoch)
+	_ = stream.Write(end)
+}
+
+func (a *Agent) currentEpoch() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.epoch
+}
+
+// hasDied reports whether the endpoint isn't any more what it was in an epoch.
+func (a *Agent) hasDied(epoch string) bool {
+	load, err := a.pollLoad(context.Background())
+	if err != nil {
+		return true
+	}
+	a.observeLoad(load)
+	return load.epoch != epoch
 }
 
 func headOf(attempt *wirepb.Attempt, response *http.Response) *wirepb.Frame {
@@ -166,6 +184,7 @@
 	attempt *wirepb.Attempt
 	flow    *flow
 	began   time.Time
+	epoch   string
 	offset  uint64
 	first   time.Duration
 }
@@ -227,12 +246,14 @@
 // breakOff tells the entry that the answer ended too early. It counts against
 // the endpoint unless the entry has cancelled the request.
 func (r *relay) breakOff(ctx context.Context, err error) {
+	end := endOf(r.attempt, r.offset, "the endpoint broke off its answer")
 	if ctx.Err() == nil {
 		r.agent.attempts.Add(1, "failed")
 		r.agent.ramp.Fail()
 		event.AttemptFailed.Log(r.agent.logger, zap.String("request", r.attempt.GetRequest()), zap.Error(err))
+		end.GetEnd().Died = r.agent.hasDied(r.epoch)
 	} else {
 		r.agent.attempts.Add(1, "cancelled")
 	}
-	r.end("the endpoint broke off its answer")
+	_ = r.stream.Write(end)
 }
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -133,6 +133,9 @@
 		case <-ctx.Done():
 		}
 	}()
+	if reserve.GetAlone() {
+		return a.gate.AcquireAlone(ctx)
+	}
 	return a.gate.Acquire(ctx, int(reserve.GetPriority()))
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -66,6 +66,7 @@
 	stop := context.AfterFunc(ctx, g.stream.Close)
 	defer stop()
 	end := t.run()
+	f.judgeEnd(end, g)
 	if !end.done {
 		t.settle()
 		event.AttemptFailed.Log(f.entry.logger,
@@ -77,6 +78,17 @@
 	return end
 }
 
+// judgeEnd holds the death of an endpoint against the request, and clears one
+// that has completed alone.
+func (f *flight) judgeEnd(end attemptEnd, g *grant) {
+	switch {
+	case end.died:
+		f.entry.crashes.death(f.fingerprint(), g.alone)
+	case end.done && g.alone:
+		f.entry.crashes.acquit(f.fingerprint())
+	}
+}
+
 // settle finds out whether an attempt that has no answer has run. Where the
 // credit can be revoked it has not, even if its message is still on its way.
 func (t *trial) settle() {
@@ -258,10 +270,10 @@
 	}
 	if !t.began {
 		t.flight.log.Mark(retry.Unknown)
-		return attemptEnd{code: "endpoint_failed", message: last.GetError()}, true
+		return attemptEnd{died: last.GetDied(), code: "endpoint_failed", message: last.GetError()}, true
 	}
 	if last.GetError() != "" || last.GetLength() != t.taken {
-		return attemptEnd{begun: true, code: "endpoint_failed", message: "the answer broke off: " + last.GetError()}, true
+		return attemptEnd{begun: true, died: last.GetDied(), code: "endpoint_failed", message: "the answer broke off: " + last.GetError()}, true
 	}
 	if err := t.flight.answer.finish(); err != nil {
 		return t.callerLost(err), true
--- /dev/null
+++ b/internal/entry/crash_test.go
@@ -0,0 +1,80 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lentilstand/lentilstand/internal/bench"
+	"github.com/lentilstand/lentilstand/internal/stand"
+	"github.com/lentilstand/lentilstand/pkg/config"
+)
+
+// twoEntries returns a bench of two entries before two engines.
+func twoEntries(engine stand.EngineSpec) bench.Spec {
+	return bench.Spec{
+		Region:      "r",
+		DataCentres: []string{"centru"},
+		Teams:       []string{"a", "b"},
+		Entries:     []bench.Node{{Name: "entry-1", DataCentre: "centru"}, {Name: "entry-2", DataCentre: "centru"}},
+		Services: []bench.Service{{Name: "asistent", Kind: config.KindModel, Repeatable: true, Extra: `"queue": {"max_wait_ms": 10000}`,
+			Replicas: []bench.Replica{
+				{Name: "asistent-1", DataCentre: "centru", Engine: engine, Warm: true},
+				{Name: "asistent-2", DataCentre: "centru", Engine: engine, Warm: true},
+			}}},
+	}
+}
+
+func chatOf(content string, tokens int) string {
+	return fmt.Sprintf(`{"model": "asistent", "stream": true, "max_tokens": %d, "messages": [{"role": "user", "content": %q}]}`, tokens, content)
+}
+
+func TestRequestThatCrashesEndpointsIsRefused(t *testing.T) {
+	engine := stand.DefaultEngineSpec()
+	engine.ColdCapacity = engine.Capacity
+	b := startBench(t, twoEntries(engine))
+	falls := func() int {
+		return b.Engine("asistent-1").Counts().Falls + b.Engine("asistent-2").Counts().Falls
+	}
+	for _, name := range []string{"asistent-1", "asistent-2"} {
+		b.Engine(name).SetFaults(stand.EngineFaults{CrashOn: "poison"})
+	}
+	const innocents = 4
+	answers := make([]bench.Answer, innocents)
+	var wait sync.WaitGroup
+	for n := range innocents {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			answers[n], _ = b.Call(context.Background(), b.Entry("entry-1").Address(), "a", http.MethodPost,
+				"/v1/chat/completions", chatOf(fmt.Sprint("innocent ", n), 60), nil)
+		}()
+	}
+	time.Sleep(200 * time.Millisecond)
+	var last bench.Answer
+	for n := range 8 {
+		entry := []string{"entry-1", "entry-2"}[n%2]
+		answer, err := b.Call(context.Background(), b.Entry(entry).Address(), "b", http.MethodPost,
+			"/v1/chat/completions", chatOf("poison", 2), nil)
+		require.NoError(t, err)
+		require.NotEqual(t, http.StatusOK, answer.Status)
+		last = answer
+	}
+	wait.Wait()
+	require.LessOrEqual(t, falls(), 2, "the second death convicts")
+	var failure wireError
+	require.NoError(t, json.Unmarshal(last.Body, &failure))
+	require.Equal(t, "request_crashes_endpoints", failure.Error.Code)
+	require.Equal(t, "not_run", last.Header.Get("Lentilstand-Outcome"))
+	for n, answer := range answers {
+		require.Equal(t, http.StatusOK, answer.Status)
+		require.True(t, strings.HasSuffix(string(answer.Body), "data: [DONE]\n\n"), "innocent %d: %s", n, answer.Body)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,7 @@
 	teams       *teamLimits
 	claims      *claim.Claims
 	records     *audit.Writer
+	crashes     *crashes
 	budget      retry.Budget
 	requests    meter.Counter
 	firstBytes  meter.Histogram
@@ -76,7 +77,8 @@
 	voter := settings.Name() + "/" + e.incarnation[:8]
 	e.claims = claim.New(e.kv, voter)
 	e.records = audit.NewWriter(e.kv, voter)
-	e.follower = newFollower(voter, e.kv, logger)
+	e.crashes = newCrashes(e.kv, logger)
+	e.follower = newFollower(voter, e.kv, e.crashes, logger)
 	e.fleet = newFleet(settings.Name(), logger)
 	e.hosts = newHostWatch(settings.HostList())
 	e.acceptor = newAcceptor(e.follower, e.kv, settings.Name(), logger)
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -165,6 +165,7 @@
 type attemptEnd struct {
 	done    bool
 	begun   bool
+	died    bool
 	message string
 	code    string
 }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -13,6 +13,7 @@
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/pkg/chain"
 	"github.com/lentilstand/lentilstand/pkg/config"
+	"github.com/lentilstand/lentilstand/pkg/crash"
 	"github.com/lentilstand/lentilstand/pkg/member"
 	"github.com/lentilstand/lentilstand/pkg/quorum"
 	"github.com/lentilstand/lentilstand/pkg/route"
@@ -37,11 +38,12 @@
 // follower keeps the entry's view of the configuration: from the key-value
 // service, and from peers.
 type follower struct {
-	voter  string
-	kv     configStore
-	logger *zap.Logger
-	rules  atomic.Pointer[route.Rules]
-	askNow chan struct{}
+	crashes *crashes
+	voter   string
+	kv      configStore
+	logger  *zap.Logger
+	rules   atomic.Pointer[route.Rules]
+	askNow  chan struct{}
 
 	mu        sync.Mutex
 	node      *quorum.Node
@@ -55,8 +57,9 @@
 	changed   chan struct{}
 }
 
-func newFollower(voter string, kv configStore, logger *zap.Logger) *follower {
+func newFollower(voter string, kv configStore, found *crashes, logger *zap.Logger) *follower {
 	return &follower{
+		crashes: found,
 		voter:   voter,
 		kv:      kv,
 		logger:  logger,
@@ -70,7 +73,7 @@
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		sent := time.Now()
-		snapshot, err := f.kv.Watch(ctx, f.lastRevision(), watchWait, chain.HeadKey, chain.PendingKey, member.Prefix)
+		snapshot, err := f.kv.Watch(ctx, f.lastRevision(), watchWait, chain.HeadKey, chain.PendingKey, member.Prefix, crash.Prefix)
 		if err == nil {
 			err = f.observe(ctx, snapshot, sent)
 		}
@@ -120,6 +123,7 @@
 	if err := f.adopt(ctx, view, sent); err != nil {
 		return err
 	}
+	f.crashes.update(snapshot)
 	members, unreadable := member.List(snapshot)
 	for _, key := range unreadable {
 		event.PeerUnreadable.Log(f.logger, zap.String("key", key))
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -14,6 +14,7 @@
 	"github.com/lentilstand/lentilstand/internal/wirepb"
 	"github.com/lentilstand/lentilstand/pkg/audit"
 	"github.com/lentilstand/lentilstand/pkg/config"
+	"github.com/lentilstand/lentilstand/pkg/crash"
 	"github.com/lentilstand/lentilstand/pkg/route"
 )
 
@@ -47,6 +48,7 @@
 	incarnation string
 	credit      uint64
 	version     uint64
+	alone       bool
 	trace       audit.Attempt
 }
 
@@ -84,6 +86,10 @@
 	if refusal := f.admissible(); refusal != nil {
 		return nil, refusal
 	}
+	verdict := f.verdict()
+	if verdict == crash.Convicted {
+		return nil, f.convicted()
+	}
 	rules := f.entry.follower.currentRules()
 	usable := rules.Usable(f.service.Name())
 	loads := f.entry.fleet.loads(usable, f.entry.hosts)
@@ -94,7 +100,12 @@
 	if len(decision.Endpoints()) == 0 {
 		return nil, f.unserved(decision.Reason())
 	}
-	found := f.ask(ctx, rules, decision.Endpoints())
+	var found *grant
+	if verdict == crash.Suspect {
+		found = f.askAlone(ctx, rules, decision.Endpoints()[0])
+	} else {
+		found = f.ask(ctx, rules, decision.Endpoints())
+	}
 	if found == nil {
 		return nil, nil
 	}
@@ -132,6 +143,23 @@
 	return f.askWaiting(ctx, endpoints[:min(waitingTries, len(endpoints))], version)
 }
 
+// aloneWait is how long a suspect waits at an endpoint for a moment alone.
+const aloneWait = 4 * time.Second
+
+// askAlone asks an endpoint for a credit to run a suspect alone.
+func (f *flight) askAlone(ctx context.Context, rules *route.Rules, endpoint config.Endpoint) *grant {
+	found, err := f.askFor(ctx, endpoint, &wirepb.Reserve{
+		Version: rules.Head().Number(),
+		WaitMs:  uint32(aloneWait.Milliseconds()),
+		Alone:   true,
+	})
+	if err != nil {
+		pauseUnless(ctx, stalePause)
+		return nil
+	}
+	return found
+}
+
 // askWaiting waits at several endpoints for whichever credit comes first and
 // gives the others back.
 func (f *flight) askWaiting(ctx context.Context, endpoints []config.Endpoint, version uint64) *grant {
@@ -167,6 +195,14 @@
 
 // askOne asks one endpoint for a credit and waits there for as long as wait.
 func (f *flight) askOne(ctx context.Context, endpoint config.Endpoint, version uint64, wait time.Duration) (*grant, error) {
+	return f.askFor(ctx, endpoint, &wirepb.Reserve{Version: version, WaitMs: uint32(wait.Milliseconds())})
+}
+
+// askFor asks one endpoint for what reserve says, of which it fills in the rest.
+func (f *flight) askFor(ctx context.Context, endpoint config.Endpoint, reserve *wirepb.Reserve) (*grant, error) {
+	reserve.Service = f.service.Name()
+	reserve.Entry = f.entry.settings.Name()
+	reserve.Priority = uint32(f.team.Priority())
 	l := f.entry.fleet.link(endpoint.Name())
 	if l == nil {
 		return nil, errNotConnected
@@ -176,7 +212,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, stream.Close)
-	granted, err := f.askStream(stream, version, wait)
+	granted, err := askStream(stream, reserve)
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
@@ -191,18 +227,13 @@
 		stream:      stream,
 		incarnation: granted.GetIncarnation(),
 		credit:      granted.GetCredit(),
-		version:     version,
+		version:     reserve.GetVersion(),
+		alone:       reserve.GetAlone(),
 	}, nil
 }
 
-func (f *flight) askStream(stream *link.Stream, version uint64, wait time.Duration) (*wirepb.Granted, error) {
-	reserve := &wirepb.Reserve{
-		Service:  f.service.Name(),
-		Version:  version,
-		Entry:    f.entry.settings.Name(),
-		WaitMs:   uint32(wait.Milliseconds()),
-		Priority: uint32(f.team.Priority()),
-	}
+func askStream(stream *link.Stream, reserve *wirepb.Reserve) (*wirepb.Granted, error) {
+	wait := time.Duration(reserve.GetWaitMs()) * time.Millisecond
 	if err := stream.Write(&wirepb.Frame{Body: &wirepb.Frame_Reserve{Reserve: reserve}}); err != nil {
 		return nil, err
 	}
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -277,7 +277,8 @@
 	HeaderRequest = "X-Request-Id"
 	// HeaderPriority is the request's priority, higher first.
 	HeaderPriority = "X-Priority"
-	// HeaderResume is the byte offset of the body at which to go on.
+	// HeaderResume is the byte offset of the body at which to go on. The answer
+	// repeats it.
 	HeaderResume = "X-Resume-Offset"
 	// HeaderVersion names the version of the model that answers.
 	HeaderVersion = "X-Model-Version"
@@ -292,7 +293,10 @@
 		call.MaxTokens = defaultMaxTokens
 	}
 	priority, _ := strconv.Atoi(r.Header.Get(HeaderPriority))
-	seq := e.admit(call, r.Header.Get(HeaderRequest), priority)
+	seq, crashed := e.admit(call, r.Header.Get(HeaderRequest), priority)
+	if crashed {
+		panic(http.ErrAbortHandler)
+	}
 	if seq == nil {
 		http.Error(w, "the engine is down", http.StatusServiceUnavailable)
 		return
@@ -307,21 +311,21 @@
 	e.whole(w, r, call, seq)
 }
 
-// admit puts a request into the batch. More than the engine bears makes it
-// fall over.
-func (e *Engine) admit(call chatCall, id string, priority int) *sequence {
+// admit puts a request into the batch, unless the engine is down or crashes on
+// the request. More than the engine bears makes it fall over.
+func (e *Engine) admit(call chatCall, id string, priority int) (seq *sequence, crashed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	if now.Before(e.downUntil) {
-		return nil
+		return nil, false
 	}
 	prompt := call.prompt()
 	if e.faults.CrashOn != "" && strings.Contains(prompt, e.faults.CrashOn) {
 		e.fall()
-		return nil
+		return nil, true
 	}
-	seq := &sequence{
+	seq = &sequence{
 		id:       id,
 		priority: priority,
 		starts:   now,
@@ -339,7 +343,7 @@
 	if len(e.batch) > e.bears() {
 		e.fall()
 	}
-	return seq
+	return seq, false
 }
 
 // prefixLength is how many bytes of a prompt make one entry of the cache.
@@ -401,6 +405,9 @@
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, call chatCall, seq *sequence, offset int) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if offset > 0 {
+		w.Header().Set(HeaderResume, strconv.Itoa(offset))
+	}
 	controller := http.NewResponseController(w)
 	if controller.Flush() != nil {
 		return
--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -35,6 +36,7 @@
 
 // waiter is a call of Acquire that waits for room.
 type waiter struct {
+	alone    bool
 	priority int
 	order    uint64
 	credit   chan uint64
@@ -51,6 +53,7 @@
 	next     uint64
 	credits  map[uint64]creditState
 	running  int
+	alone    uint64
 	retired  map[uint64]bool
 	retiring []uint64
 	waiters  []*waiter
@@ -97,7 +100,7 @@
 		return 0, ErrClosed
 	}
 	g.sweep()
-	if len(g.waiters) == 0 && len(g.credits) < g.capacity {
+	if len(g.waiters) == 0 && g.hasRoom() {
 		credit := g.grant()
 		g.mu.Unlock()
 		return credit, nil
@@ -106,14 +109,33 @@
 		g.mu.Unlock()
 		return 0, ErrBusy
 	}
-	self := g.enqueue(priority)
+	self := g.enqueue(&waiter{priority: priority})
 	g.mu.Unlock()
 	return g.wait(ctx, self)
 }
 
-func (g *Gate) enqueue(priority int) *waiter {
+// AcquireAlone returns a credit at a moment when no other is out, and keeps all
+// others back until it is given back. It waits until ctx ends, and nothing new
+// is granted meanwhile.
+func (g *Gate) AcquireAlone(ctx context.Context) (uint64, error) {
+	g.mu.Lock()
+	if g.closed {
+		g.mu.Unlock()
+		return 0, ErrClosed
+	}
+	self := g.enqueue(&waiter{alone: true, priority: math.MaxInt})
+	g.sweep()
+	g.mu.Unlock()
+	return g.wait(ctx, self)
+}
+
+// hasRoom reports whether one more credit may be out.
+func (g *Gate) hasRoom() bool { return g.alone == 0 && len(g.credits) < g.capacity }
+
+func (g *Gate) enqueue(self *waiter) *waiter {
 	g.arrivals++
-	self := &waiter{priority: priority, order: g.arrivals, credit: make(chan uint64, 1)}
+	self.order = g.arrivals
+	self.credit = make(chan uint64, 1)
 	at, _ := slices.BinarySearchFunc(g.waiters, self, func(a, b *waiter) int {
 		return cmp.Or(cmp.Compare(b.priority, a.priority), cmp.Compare(a.order, b.order))
 	})
@@ -155,6 +177,7 @@
 	default:
 	}
 	g.waiters = slices.DeleteFunc(g.waiters, func(w *waiter) bool { return w == self })
+	g.serve()
 	return 0, ErrBusy
 }
 
@@ -189,7 +212,7 @@
 	if !ok {
 		return
 	}
-	delete(g.credits, credit)
+	g.drop(credit)
 	if state.started {
 		g.running--
 	} else {
@@ -198,6 +221,14 @@
 	g.serve()
 }
 
+// drop stops counting a credit.
+func (g *Gate) drop(credit uint64) {
+	delete(g.credits, credit)
+	if g.alone == credit {
+		g.alone = 0
+	}
+}
+
 // Revoke makes sure that an unstarted credit is never started. It reports
 // whether the credit has been started, and true also if the gate can't tell.
 func (g *Gate) Revoke(credit uint64) (started bool) {
@@ -210,7 +241,7 @@
 	if !ok || state.started {
 		return true
 	}
-	delete(g.credits, credit)
+	g.drop(credit)
 	g.retire(credit)
 	g.serve()
 	return false
@@ -236,7 +267,7 @@
 	now := g.now()
 	for credit, state := range g.credits {
 		if !state.started && now.After(state.lapses) {
-			delete(g.credits, credit)
+			g.drop(credit)
 			g.retire(credit)
 		}
 	}
@@ -245,10 +276,17 @@
 
 // serve gives free credits to those who wait.
 func (g *Gate) serve() {
-	for len(g.waiters) > 0 && len(g.credits) < g.capacity {
+	for len(g.waiters) > 0 && g.hasRoom() {
 		first := g.waiters[0]
+		if first.alone && len(g.credits) > 0 {
+			return
+		}
 		g.waiters = g.waiters[1:]
-		first.credit <- g.grant()
+		credit := g.grant()
+		if first.alone {
+			g.alone = credit
+		}
+		first.credit <- credit
 	}
 }
 
--- a/pkg/admit/gate_test.go
+++ b/pkg/admit/gate_test.go
@@ -247,3 +247,27 @@
 		}
 	})
 }
+
+func TestGateAlone(t *testing.T) {
+	gate := admit.NewGate(3)
+	first, err := gate.Acquire(context.Background(), 0)
+	require.NoError(t, err)
+	alone := make(chan uint64)
+	go func() {
+		credit, err := gate.AcquireAlone(context.Background())
+		if err == nil {
+			alone <- credit
+		}
+	}()
+	require.Eventually(t, func() bool { return gate.Usage().Waiting() == 1 }, time.Second, time.Millisecond)
+	_, err = gate.Acquire(ended(), 9)
+	require.ErrorIs(t, err, admit.ErrBusy, "nothing new is granted while one waits to be alone")
+	gate.Finish(first)
+	credit := <-alone
+	require.NoError(t, gate.Start(credit))
+	_, err = gate.Acquire(ended(), 0)
+	require.ErrorIs(t, err, admit.ErrBusy)
+	gate.Finish(credit)
+	_, err = gate.Acquire(ended(), 0)
+	require.NoError(t, err)
+}
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -11,7 +11,7 @@
 // Defaults of a Budget and of Backoff.
 const (
 	// budgetFloor is how many retries a key may make before it has successes.
-	budgetFloor = 3
+	budgetFloor = 10
 	// budgetCeiling bounds what a key can save up.
 	budgetCeiling = 50
 	// baseBackoff is the mean pause before the first retry.
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -49,7 +49,7 @@
 		return count
 	}
 	floor := spent("a")
-	require.Equal(t, 3, floor)
+	require.Equal(t, 10, floor)
 	for range 100 {
 		budget.Success("a", 20)
 	}
