internal/entry: answers go on when every session breaks at once

Ruled out: the engines (they resumed when asked), the budget of retries. Change: a request waits in its queue while no endpoint is ready, up to max_wait; a reservation without an answer in 1 s ends its session; a stream that has begun is always resumed, also at offset 0. Conclusion: streams survive the loss of their session at any step, if the engine can resume.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -184,7 +184,7 @@
 	t.flight.log.Mark(retry.Run)
 	t.began = true
 	header := responseHeader(head.GetHeaders())
-	if t.base > 0 {
+	if t.flight.answer.begun() {
 		return t.resume(int(head.GetStatus()), header)
 	}
 	streaming := t.flight.streaming && strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
@@ -197,10 +197,9 @@
 
 // resume checks that the endpoint goes on with the same answer.
 func (t *trial) resume(status int, header http.Header) (attemptEnd, bool) {
-	same := status == http.StatusOK &&
-		header.Get(headerModelVersion) == t.flight.answer.modelVersion() &&
-		header.Get(headerResume) == strconv.FormatUint(t.base, 10)
-	if same {
+	confirmed := t.base == 0 || header.Get(headerResume) == strconv.FormatUint(t.base, 10)
+	sameModel := header.Get(headerModelVersion) == t.flight.answer.modelVersion()
+	if status == http.StatusOK && confirmed && sameModel {
 		return attemptEnd{}, false
 	}
 	t.flight.answer.forbidResume()
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -113,6 +113,16 @@
 	return loads
 }
 
+// isAnyReady reports whether any of the endpoints takes requests.
+func (f *fleet) isAnyReady(endpoints []config.Endpoint) bool {
+	for _, endpoint := range endpoints {
+		if l := f.link(endpoint.Name()); l != nil && l.load().Usable() {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *fleet) fillStatus(status *Status) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -294,14 +304,22 @@
 }
 
 // open opens a stream to the agent.
-func (l *agentLink) open() (*link.Stream, error) {
+func (l *agentLink) open() (*link.Session, *link.Stream, error) {
 	l.mu.Lock()
 	session := l.session
 	l.mu.Unlock()
 	if session == nil {
-		return nil, errNotConnected
+		return nil, nil, errNotConnected
 	}
-	return session.Open()
+	stream, err := session.Open()
+	return session, stream, err
+}
+
+// leave closes a session on which a question had no answer, so that nothing
+// waits on it any more. A new one is opened at once.
+func (l *agentLink) leave(session *link.Session) {
+	event.SessionSilent.Log(l.fleet.logger, zap.String("endpoint", l.endpoint.Name()))
+	session.Close()
 }
 
 // revokeBound bounds the asking whether a credit was used.
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -74,8 +75,10 @@
 			return nil, f.callerGone()
 		case ctx.Err() != nil:
 			return nil, f.timedOut()
-		case time.Now().After(giveUp):
+		case time.Now().After(giveUp) && f.entry.fleet.isAnyReady(rules.Usable(f.service.Name())):
 			return nil, f.waitedTooLong(queue)
+		case time.Now().After(giveUp):
+			return nil, f.unserved("no endpoint of the service is ready")
 		}
 	}
 }
@@ -97,8 +100,13 @@
 		route.WithSession(f.session), route.Without(f.log.Failed()...))
 	drawn := rand.Uint64()
 	decision := route.Decide(*rules, loads, request, drawn)
-	if len(decision.Endpoints()) == 0 {
-		return nil, f.unserved(decision.Reason())
+	switch decision.Reason() {
+	case route.ReasonNoEndpoint:
+		return nil, f.unserved("no endpoint of the service is in service")
+	case route.ReasonNoneReady:
+		// Sessions that broke a moment ago are being opened again.
+		pauseUnless(ctx, stalePause)
+		return nil, nil
 	}
 	var found *grant
 	if verdict == crash.Suspect {
@@ -117,11 +125,7 @@
 	return found, nil
 }
 
-func (f *flight) unserved(reason route.Reason) *apierr.Error {
-	message := "no endpoint of the service is in service"
-	if reason == route.ReasonNoneReady {
-		message = "no endpoint of the service is ready"
-	}
+func (f *flight) unserved(message string) *apierr.Error {
 	return apierr.New(http.StatusServiceUnavailable, "no_endpoint", message,
 		apierr.WithOutcome(f.log.Outcome()), apierr.WithRetryAfter(retrySoon))
 }
@@ -207,7 +211,7 @@
 	if l == nil {
 		return nil, errNotConnected
 	}
-	stream, err := l.open()
+	session, stream, err := l.open()
 	if err != nil {
 		return nil, err
 	}
@@ -218,6 +222,9 @@
 	}
 	if err != nil {
 		stream.Close()
+		if errors.Is(err, link.ErrTimeout) && ctx.Err() == nil {
+			l.leave(session)
+		}
 		return nil, err
 	}
 	l.expect()
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -120,11 +120,18 @@
 // Read returns the next frame.
 func (s *Stream) Read() (*wirepb.Frame, error) { return s.reader.Read() }
 
-// ReadWithin returns the next frame and fails if it doesn't come in time.
+// ErrTimeout says that a frame didn't come in time.
+var ErrTimeout = eris.New("no frame came in time")
+
+// ReadWithin returns the next frame and fails with ErrTimeout if it doesn't come
+// in time.
 func (s *Stream) ReadWithin(timeout time.Duration) (*wirepb.Frame, error) {
 	_ = s.stream.SetReadDeadline(time.Now().Add(timeout))
 	message, err := s.reader.Read()
 	_ = s.stream.SetReadDeadline(time.Time{})
+	if eris.Is(err, yamux.ErrTimeout) {
+		return nil, ErrTimeout
+	}
 	return message, err
 }
 
--- a/internal/matrix/path_test.go
+++ b/internal/matrix/path_test.go
@@ -235,6 +235,20 @@
 	},
 }
 
+// resumable are the faults after which an answer goes on, since its engine can
+// resume it.
+var resumable = map[string]bool{
+	"process killed":              true,
+	"connection cut":              true,
+	"connection silent one way":   true,
+	"connection silent both ways": true,
+	"message late":                true,
+	"key-value service down":      true,
+	"key-value service slow":      true,
+	"key-value answer lost":       true,
+	"back end slow":               true,
+}
+
 // faultTime is how long a fault of the key-value service lasts.
 const faultTime = 1500 * time.Millisecond
 
@@ -286,7 +300,10 @@
 	wait.Wait()
 	require.True(t, caused.Load(), "the step was not reached")
 	for i, entry := range []string{"entry-1", "entry-2"} {
-		checkChat(t, "question at "+entry, chats[i])
+		whole := checkChat(t, "question at "+entry, chats[i])
+		if resumable[fault] {
+			require.True(t, whole, "streams go on elsewhere: %s", chats[i].body)
+		}
 	}
 	w.faults.Wait()
 	w.checkBooking(t, marked, bookings[:])
