cmd/lentilstand: votes of dead processes, and scripts of the commands

Cause: when all entries died at once the restarted ones could never get a vote, since nobody was left to learn of them; and the commands had no tests of their own. Ruled out: dropping voters by time (they might only be cut off and go on together); the host list (it lags). Log entries hold the message of an error without its stack.

--- a/cmd/lentilstand/fault_test.go
+++ b/cmd/lentilstand/fault_test.go
@@ -297,3 +297,25 @@
 		return err == nil && status == http.StatusServiceUnavailable && header.Get("Lentilstand-Outcome") == "not_run"
 	})
 }
+
+func TestAllEntriesDieAtOnce(t *testing.T) {
+	f := startFleet(t)
+	status, ok := f.Status(f.Entries["entry-1"])
+	require.True(t, ok)
+	for _, name := range []string{"entry-1", "entry-2"} {
+		f.Entries[name].Kill()
+	}
+	for _, name := range []string{"entry-1", "entry-2"} {
+		f.RestartEntry(name)
+	}
+	f.Eventually("the restarted entries to refuse", func() bool {
+		code, header, _, err := call(f.Entries["entry-1"].Address, http.MethodGet, "/bootshaus/x", "", nil)
+		return err == nil && code == http.StatusServiceUnavailable && header.Get("Lentilstand-Outcome") == "not_run"
+	})
+	unconfirmed := procs.Start(t, append([]string{"voters", "--settings", f.Operator, "remove"}, status.Voters...)...)
+	require.Equal(t, exitUsage, unconfirmed.Wait(5*time.Second))
+	remove := procs.Start(t, append([]string{"voters", "--settings", f.Operator, "remove", "--confirm-dead"}, status.Voters...)...)
+	require.Equal(t, exitOK, remove.Wait(5*time.Second), remove.Log())
+	f.WaitReady()
+	require.NoError(t, mixedRequest(f.Entries["entry-1"].Address, 0))
+}
--- a/cmd/lentilstand/main.go
+++ b/cmd/lentilstand/main.go
@@ -35,6 +35,7 @@
 	Agent   *agentCommand   `arg:"subcommand:agent" help:"stand beside an endpoint and limit what it is given"`
 	Patch   *patchCommand   `arg:"subcommand:patch" help:"change the numbered configuration and look at its history"`
 	Status  *statusCommand  `arg:"subcommand:status" help:"show members, versions and endpoints"`
+	Voters  *votersCommand  `arg:"subcommand:voters" help:"show who has a vote, and remove the votes of dead processes"`
 	StandIn *standInCommand `arg:"subcommand:stand-in" help:"run a stand-in of an outside system"`
 	Audit   *auditCommand   `arg:"subcommand:audit" help:"replay the records of requests against the history of versions"`
 	Report  *reportCommand  `arg:"subcommand:report" help:"make reports"`
@@ -93,6 +94,8 @@
 		return a.Patch
 	case a.Status != nil:
 		return a.Status
+	case a.Voters != nil:
+		return a.Voters
 	case a.StandIn != nil:
 		return a.StandIn
 	case a.Audit != nil:
--- a/cmd/lentilstand/process_test.go
+++ b/cmd/lentilstand/process_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -104,23 +103,23 @@
 		status, _, body, err := call(address, http.MethodPost, "/v1/chat/completions", chat(content, 6, true), nil)
 		text, clean := streamedText(body)
 		if err != nil || status != http.StatusOK || !clean || text != stand.Answer(content, 6) {
-			return fmt.Errorf("stream %d: %d %v %q", n, status, err, body)
+			return fmt.Errorf("stream %d: %d %w %q", n, status, err, body)
 		}
 	case 1:
 		status, _, body, err := call(address, http.MethodPost, "/v1/chat/completions", chat(content, 6, false), nil)
 		if err != nil || status != http.StatusOK || !strings.Contains(body, stand.Answer(content, 6)) {
-			return fmt.Errorf("whole %d: %d %v %q", n, status, err, body)
+			return fmt.Errorf("whole %d: %d %w %q", n, status, err, body)
 		}
 	case 2:
 		header := http.Header{"Idempotency-Key": {content}}
 		status, _, body, err := call(address, http.MethodPost, "/bootshaus/bookings", content, header)
 		if err != nil || status != http.StatusCreated || !strings.Contains(body, content+`"`) {
-			return fmt.Errorf("booking %d: %d %v %q", n, status, err, body)
+			return fmt.Errorf("booking %d: %d %w %q", n, status, err, body)
 		}
 	default:
 		status, _, body, err := call(address, http.MethodGet, fmt.Sprintf("/bootshaus/rack/%d", n), "", nil)
 		if err != nil || status != http.StatusOK || !strings.Contains(body, fmt.Sprintf("/bootshaus/rack/%d\"", n)) {
-			return fmt.Errorf("look-up %d: %d %v %q", n, status, err, body)
+			return fmt.Errorf("look-up %d: %d %w %q", n, status, err, body)
 		}
 	}
 	return nil
@@ -176,9 +175,3 @@
 	require.True(t, clean)
 	require.Greater(t, lastAfter-firstAfter, 600*time.Millisecond, "tokens must pass through as they come")
 }
-
-func TestMain(m *testing.M) {
-	code := m.Run()
-	procs.Remove()
-	os.Exit(code)
-}
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -132,7 +132,7 @@
 	}
 	a.attempts.Add(1, "failed")
 	a.ramp.Fail()
-	event.AttemptFailed.Log(a.logger, zap.String("request", attempt.GetRequest()), zap.Error(err))
+	event.AttemptFailed.Log(a.logger, zap.String("request", attempt.GetRequest()), event.Error(err))
 	end := endOf(attempt, 0, "the endpoint gave no answer")
 	end.GetEnd().Died = ctx.Err() == nil && a.hasDied(epoch)
 	_ = stream.Write(end)
@@ -250,7 +250,7 @@
 	if ctx.Err() == nil {
 		r.agent.attempts.Add(1, "failed")
 		r.agent.ramp.Fail()
-		event.AttemptFailed.Log(r.agent.logger, zap.String("request", r.attempt.GetRequest()), zap.Error(err))
+		event.AttemptFailed.Log(r.agent.logger, zap.String("request", r.attempt.GetRequest()), event.Error(err))
 		end.GetEnd().Died = r.agent.hasDied(r.epoch)
 	} else {
 		r.agent.attempts.Add(1, "cancelled")
--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/pkg/chain"
 	"github.com/lentilstand/lentilstand/pkg/config"
 	"github.com/lentilstand/lentilstand/pkg/quorum"
@@ -239,6 +240,6 @@
 		return
 	}
 	if err := a.decide(ctx, view, time.Now()); err != nil {
-		a.logger.Debug("helping a staged version has failed", zap.Error(err))
+		a.logger.Debug("helping a staged version has failed", event.Error(err))
 	}
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -258,7 +258,7 @@
 func (t *trial) callerLost(err error) attemptEnd {
 	t.flight.answer.forbidResume()
 	if errors.Is(err, webio.ErrCallerGone) {
-		event.CallerStalled.Log(t.flight.entry.logger, zap.String("request", t.flight.id), zap.Error(err))
+		event.CallerStalled.Log(t.flight.entry.logger, zap.String("request", t.flight.id), event.Error(err))
 	}
 	return attemptEnd{begun: true, code: "caller_gone", message: "the caller took no more of its answer"}
 }
--- a/internal/entry/badinput_test.go
+++ b/internal/entry/badinput_test.go
@@ -42,10 +42,14 @@
 		Teams:       []string{"a", "b"},
 		Entries:     []bench.Node{{Name: "entry-1", DataCentre: "centru"}},
 		Services: []bench.Service{
-			{Name: "asistent", Kind: config.KindModel, Repeatable: true,
-				Replicas: []bench.Replica{{Name: "asistent-1", DataCentre: "centru", Engine: engine}}},
-			{Name: "depozit", Kind: config.KindPlain, PathPrefix: "/depozit",
-				Replicas: []bench.Replica{{Name: "depozit-1", DataCentre: "centru", Plain: plain}}},
+			{
+				Name: "asistent", Kind: config.KindModel, Repeatable: true,
+				Replicas: []bench.Replica{{Name: "asistent-1", DataCentre: "centru", Engine: engine}},
+			},
+			{
+				Name: "depozit", Kind: config.KindPlain, PathPrefix: "/depozit",
+				Replicas: []bench.Replica{{Name: "depozit-1", DataCentre: "centru", Plain: plain}},
+			},
 		},
 	}
 }
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), claimBound)
 	defer cancel()
 	if err := taken.Settle(ctx, outcome); err != nil {
-		event.ClaimUnsettled.Log(f.entry.logger, zap.String("request", f.id), zap.Error(err))
+		event.ClaimUnsettled.Log(f.entry.logger, zap.String("request", f.id), event.Error(err))
 	}
 }
 
@@ -88,7 +88,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), claimBound)
 	defer cancel()
 	if err := taken.Release(ctx); err != nil {
-		event.ClaimUnsettled.Log(f.entry.logger, zap.String("request", f.id), zap.Error(err))
+		event.ClaimUnsettled.Log(f.entry.logger, zap.String("request", f.id), event.Error(err))
 	}
 	return failure
 }
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -24,11 +24,13 @@
 		DataCentres: []string{"centru"},
 		Teams:       []string{"a", "b"},
 		Entries:     []bench.Node{{Name: "entry-1", DataCentre: "centru"}, {Name: "entry-2", DataCentre: "centru"}},
-		Services: []bench.Service{{Name: "asistent", Kind: config.KindModel, Repeatable: true, Extra: `"queue": {"max_wait_ms": 10000}`,
+		Services: []bench.Service{{
+			Name: "asistent", Kind: config.KindModel, Repeatable: true, Extra: `"queue": {"max_wait_ms": 10000}`,
 			Replicas: []bench.Replica{
 				{Name: "asistent-1", DataCentre: "centru", Engine: engine, Warm: true},
 				{Name: "asistent-2", DataCentre: "centru", Engine: engine, Warm: true},
-			}}},
+			},
+		}},
 	}
 }
 
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -74,7 +74,7 @@
 		zap.String("fingerprint", fingerprint),
 		zap.Bool("alone", alone),
 		zap.Int("deaths", record.Deaths()),
-		zap.Error(err))
+		event.Error(err))
 	if err == nil {
 		c.mu.Lock()
 		delete(c.own, fingerprint)
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -161,7 +161,7 @@
 	pause := redialPause
 	for ctx.Err() == nil {
 		if err := l.serve(ctx); err != nil {
-			event.SessionDialFail.Log(l.fleet.logger, zap.String("endpoint", l.endpoint.Name()), zap.Error(err))
+			event.SessionDialFail.Log(l.fleet.logger, zap.String("endpoint", l.endpoint.Name()), event.Error(err))
 			pause = min(2*pause, maxRedialPause)
 		} else {
 			pause = redialPause
@@ -212,7 +212,7 @@
 			event.SessionClosed.Log(l.fleet.logger, zap.String("endpoint", l.endpoint.Name()))
 		}
 	default:
-		event.SessionSilent.Log(l.fleet.logger, zap.String("endpoint", l.endpoint.Name()), zap.Error(cause))
+		event.SessionSilent.Log(l.fleet.logger, zap.String("endpoint", l.endpoint.Name()), event.Error(cause))
 	}
 }
 
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -111,12 +111,12 @@
 	}
 	head, err := chain.MarkIn(snapshot, chain.HeadKey)
 	if err != nil {
-		event.VersionUnusable.Log(f.logger, zap.Error(err))
+		event.VersionUnusable.Log(f.logger, event.Error(err))
 		return err
 	}
 	pending, err := chain.MarkIn(snapshot, chain.PendingKey)
 	if err != nil {
-		event.VersionUnusable.Log(f.logger, zap.Error(err))
+		event.VersionUnusable.Log(f.logger, event.Error(err))
 		return err
 	}
 	view := quorum.NewView(head, pending)
@@ -176,7 +176,7 @@
 	}
 	version, err := chain.Load(ctx, f.kv, mark, known[0])
 	if err != nil && (eris.Is(err, config.ErrChainBroken) || eris.Is(err, store.ErrNotFound)) {
-		event.VersionUnusable.Log(f.logger, zap.Uint64("version", mark.Number()), zap.Error(err))
+		event.VersionUnusable.Log(f.logger, zap.Uint64("version", mark.Number()), event.Error(err))
 	}
 	return version, err
 }
@@ -246,7 +246,7 @@
 		f.notify()
 		return
 	}
-	event.StoreUnreachable.Log(f.logger, zap.Error(cause))
+	event.StoreUnreachable.Log(f.logger, event.Error(cause))
 }
 
 // logStanding logs when the entry begins or ends to take new work.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -96,7 +96,7 @@
 			return
 		}
 		if err := p.exchange(ctx); err != nil {
-			event.SessionDialFail.Log(p.follower.logger, zap.String("peer", p.member.Name()), zap.Error(err))
+			event.SessionDialFail.Log(p.follower.logger, zap.String("peer", p.member.Name()), event.Error(err))
 			p.hangUp()
 		}
 	}
--- a/internal/entry/register.go
+++ b/internal/entry/register.go
@@ -282,7 +282,7 @@
 		return
 	}
 	if err := a.decide(ctx, staged, time.Now()); err != nil {
-		r.entry.logger.Debug("a change of voters has failed", zap.Error(err))
+		r.entry.logger.Debug("a change of voters has failed", event.Error(err))
 	}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -94,3 +94,12 @@
 	}
 	return logger
 }
+
+// Error returns an error as a field of an entry: its message alone, without the
+// stack that the error may hold.
+func Error(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/internal/probe/cycle.go
+++ b/internal/probe/cycle.go
@@ -162,7 +162,7 @@
 			defer wait.Done()
 			for n := range 2 * cycleCapacity {
 				address := b.EndpointAddress(fmt.Sprintf("model-%d", i))
-				if _, _, err := stream(ctx, client, address, "", "model", fmt.Sprint(n), 1); err != nil {
+				if _, _, err := stream(ctx, client, address, "", fmt.Sprint(n), 1); err != nil {
 					failure.Store(err)
 				}
 			}
@@ -187,7 +187,7 @@
 			go func() {
 				defer wait.Done()
 				address := b.Entry(fmt.Sprintf("entry-%d", i%3)).Address()
-				_, _, _ = stream(ctx, client, address, bench.Key("a"), "model", fmt.Sprint(rand.Int()), 1)
+				_, _, _ = stream(ctx, client, address, bench.Key("a"), fmt.Sprint(rand.Int()), 1)
 			}()
 		}
 		wait.Wait()
@@ -273,7 +273,7 @@
 		go func() {
 			defer wait.Done()
 			address, key := target.next(ctx)
-			first, gaps, err := stream(ctx, client, address, key, "model", fmt.Sprintf("request %d", n), cycleTokens)
+			first, gaps, err := stream(ctx, client, address, key, fmt.Sprintf("request %d", n), cycleTokens)
 			c.count(first, gaps, err)
 		}()
 	}
--- a/internal/probe/path.go
+++ b/internal/probe/path.go
@@ -59,8 +59,8 @@
 
 // stream sends a streamed chat and returns the time of its first token and the
 // gaps between its tokens.
-func stream(ctx context.Context, client *http.Client, address, key, model, content string, tokens int) (time.Duration, []time.Duration, error) {
-	body := fmt.Sprintf(`{"model": %q, "stream": true, "max_tokens": %d, "messages": [{"role": "user", "content": %q}]}`, model, tokens, content)
+func stream(ctx context.Context, client *http.Client, address, key, content string, tokens int) (time.Duration, []time.Duration, error) {
+	body := fmt.Sprintf(`{"model": "model", "stream": true, "max_tokens": %d, "messages": [{"role": "user", "content": %q}]}`, tokens, content)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		return 0, nil, err
@@ -126,7 +126,7 @@
 		go func() {
 			defer wait.Done()
 			for n := range requests {
-				first, gaps, err := stream(ctx, client, address, key, "model", fmt.Sprintf("%s question %d of %d", label, n, w), pathTokens)
+				first, gaps, err := stream(ctx, client, address, key, fmt.Sprintf("%s question %d of %d", label, n, w), pathTokens)
 				if err != nil {
 					l.fail()
 					continue
--- a/internal/probe/readers.go
+++ b/internal/probe/readers.go
@@ -113,11 +113,13 @@
 		DataCentres: []string{"dc-0"},
 		Teams:       []string{"a"},
 		Entries:     []bench.Node{{Name: "entry-0", DataCentre: "dc-0"}},
-		Services: []bench.Service{{Name: "model", Kind: config.KindModel, Repeatable: true,
+		Services: []bench.Service{{
+			Name: "model", Kind: config.KindModel, Repeatable: true,
 			Extra: `"queue": {"max_requests": 2000, "max_wait_ms": 20000}`,
 			Replicas: []bench.Replica{
 				{Name: "model-0", DataCentre: "dc-0", Engine: engine, Warm: true},
-			}}},
+			},
+		}},
 	})
 	if err != nil {
 		return 0, err
--- a/internal/procs/procs.go
+++ b/internal/procs/procs.go
@@ -137,7 +137,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
 }
 
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -66,15 +66,22 @@
 	}{
 		{name: "all", loads: free("e1", "e2", "e3"), want: []string{"e1", "e2", "e3"}, reason: route.ReasonDrawn},
 		{name: "none has reported", reason: route.ReasonNoneReady},
-		{name: "not ready and leaving", loads: map[string]route.Load{
-			"e1": route.NewLoad(4, 0, route.NotReady()), "e2": route.NewLoad(4, 0, route.Leaving()), "e3": route.NewLoad(4, 0)},
-			want: []string{"e3"}, reason: route.ReasonDrawn},
+		{
+			name: "not ready and leaving", loads: map[string]route.Load{
+				"e1": route.NewLoad(4, 0, route.NotReady()), "e2": route.NewLoad(4, 0, route.Leaving()), "e3": route.NewLoad(4, 0),
+			},
+			want: []string{"e3"}, reason: route.ReasonDrawn,
+		},
 		{name: "data centre out", head: out, loads: free("e1", "e2"), want: []string{"e2"}, reason: route.ReasonDrawn},
 		{name: "data centre out in the staged version", pending: out, loads: free("e1", "e2"), want: []string{"e2"}, reason: route.ReasonDrawn},
-		{name: "endpoint leaving", head: `"set": {"endpoints": [{"name": "e2", "service": "lm", "data_centre": "b", "address": "127.0.0.1:2", "leaving": true}]}`,
-			loads: free("e1", "e2"), want: []string{"e1"}, reason: route.ReasonDrawn},
-		{name: "address changes in the staged version", pending: `"set": {"endpoints": [{"name": "e2", "service": "lm", "data_centre": "b", "address": "127.0.0.1:9"}]}`,
-			loads: free("e1", "e2"), want: []string{"e1"}, reason: route.ReasonDrawn},
+		{
+			name: "endpoint leaving", head: `"set": {"endpoints": [{"name": "e2", "service": "lm", "data_centre": "b", "address": "127.0.0.1:2", "leaving": true}]}`,
+			loads: free("e1", "e2"), want: []string{"e1"}, reason: route.ReasonDrawn,
+		},
+		{
+			name: "address changes in the staged version", pending: `"set": {"endpoints": [{"name": "e2", "service": "lm", "data_centre": "b", "address": "127.0.0.1:9"}]}`,
+			loads: free("e1", "e2"), want: []string{"e1"}, reason: route.ReasonDrawn,
+		},
 		{name: "nothing in service", head: `"delete": {"endpoints": ["e1", "e2", "e3"]}`, loads: free("e1"), reason: route.ReasonNoEndpoint},
 	}
 	for _, tc := range testCases {
