internal/entry: slow readers over a budget are parked

Cause: the memory of a slow reader was bounded, but not that of all together, and each kept its place in its engine's batch. Ruled out: shedding, which loses answers; smaller windows, which slow down good readers. Change: stalled streams are counted by their window; above stream_budget_bytes those of the lowest priority are cancelled at their engine and resumed at the offset when the kernel's send queue is empty. Conclusion: what slow readers hold is bounded a stream and a process.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -71,7 +71,10 @@
 	// Proxied puts a Proxy before each agent.
 	Proxied    bool
 	AddressTTL time.Duration
-	HostLag    time.Duration
+	// StreamBudget is what stalled streams may hold at an entry, in bytes; zero
+	// means the default.
+	StreamBudget int64
+	HostLag      time.Duration
 }
 
 // Key returns the API key that a bench gives to a team.
@@ -301,6 +304,9 @@
 	ttl := int(b.spec.AddressTTL.Seconds())
 	text := fmt.Sprintf(`{"name": %q, "data_centre": %q, "listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0", "admin_listen": "127.0.0.1:0", "key_value": %q, "host_list": %q, "address_ttl_s": %d}`,
 		node.Name, node.DataCentre, b.kvAddr, hostAddr, ttl)
+	if b.spec.StreamBudget > 0 {
+		text = strings.Replace(text, "{", fmt.Sprintf(`{"stream_budget_bytes": %d, `, b.spec.StreamBudget), 1)
+	}
 	settings, err := prefs.ParseEntry(node.Name, []byte(text))
 	if err != nil {
 		return err
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -61,6 +61,9 @@
 	return a.stream == nil || a.modelVersion() != ""
 }
 
+// canPark reports whether the answer can be left at an offset and resumed.
+func (a *answer) canPark() bool { return a.stream != nil && a.resumable() }
+
 func (a *answer) forbidResume() { a.noResume = true }
 
 // begin takes the status and the header of the answer.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -55,6 +56,7 @@
 	taken  uint64
 	acked  uint64
 	began  bool
+	parked atomic.Bool
 }
 
 // attempt sends the request to the endpoint of a grant and passes its answer to
@@ -67,7 +69,7 @@
 	defer stop()
 	end := t.run()
 	f.judgeEnd(end, g)
-	if !end.done {
+	if !end.done && !end.parked {
 		t.settle()
 		event.AttemptFailed.Log(f.entry.logger,
 			zap.String("request", f.id),
@@ -112,6 +114,9 @@
 	}
 	for {
 		message, err := t.grant.stream.Read()
+		if t.parked.Load() {
+			return attemptEnd{begun: true, parked: true, message: "parked, since the caller is slow"}
+		}
 		if err != nil {
 			return attemptEnd{begun: t.began, code: "endpoint_lost", message: "the connection to the endpoint was lost"}
 		}
@@ -236,7 +241,7 @@
 	t.taken += uint64(len(data))
 	f := t.flight
 	f.entry.teams.hold(f.team.Name(), int64(len(data)))
-	err := f.answer.write(data)
+	err := t.writeToCaller(data)
 	f.entry.teams.hold(f.team.Name(), -int64(len(data)))
 	if err != nil {
 		return t.callerLost(err), true
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,7 @@
 	claims      *claim.Claims
 	records     *audit.Writer
 	crashes     *crashes
+	parking     *parking
 	budget      retry.Budget
 	requests    meter.Counter
 	firstBytes  meter.Histogram
@@ -78,6 +79,7 @@
 	e.claims = claim.New(e.kv, voter)
 	e.records = audit.NewWriter(e.kv, voter)
 	e.crashes = newCrashes(e.kv, logger)
+	e.parking = newParking(settings.StreamBudget(), logger)
 	e.follower = newFollower(voter, e.kv, e.crashes, logger)
 	e.fleet = newFleet(settings.Name(), logger)
 	e.hosts = newHostWatch(settings.HostList())
@@ -88,6 +90,7 @@
 	metrics.Gauge("lentilstand_queue_requests", "Requests that wait, by service.", "service", e.queues.reportRequests)
 	metrics.Gauge("lentilstand_queue_bytes", "Bytes of requests that wait, by service.", "service", e.queues.reportBytes)
 	metrics.Gauge("lentilstand_team_held_bytes", "Bytes of answers held for slow readers, by team.", "team", e.teams.reportHeld)
+	metrics.Gauge("lentilstand_parking", "Bytes that stalled streams hold, and streams parked so far.", "what", e.parking.reportHeld)
 	metrics.Gauge("lentilstand_team_active", "Requests being served, by team.", "team", e.teams.reportActive)
 	metrics.Gauge("lentilstand_version", "Number of the configuration in force.", "mark", e.follower.reportVersion)
 	return e, nil
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -45,6 +45,7 @@
 	deadline  time.Time
 	log       retry.Log
 	traces    []audit.Attempt
+	parks     int
 	answer    *answer
 }
 
@@ -151,6 +152,11 @@
 			f.entry.budget.Success(f.budgetKey(), f.service.Retry().Percent())
 			return nil
 		}
+		if end.parked {
+			f.parks++
+			f.awaitDrain(ctx)
+			continue
+		}
 		if err := f.mayRetry(ctx, end); err != nil {
 			return err
 		}
@@ -166,6 +172,7 @@
 	done    bool
 	begun   bool
 	died    bool
+	parked  bool
 	message string
 	code    string
 }
@@ -183,7 +190,7 @@
 		return failure
 	case !f.log.MayRetry(f.repeatable()):
 		return failure
-	case f.log.Sent() >= f.service.Retry().MaxAttempts():
+	case f.log.Sent()-f.parks >= f.service.Retry().MaxAttempts():
 		return failure
 	case !f.entry.budget.Spend(f.budgetKey()):
 		return failure
--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -27,6 +27,10 @@
 	maxSeconds        = 3600
 	maxCapacity       = 100_000
 	maxBoundMS        = 600_000
+
+	defaultStreamBudget = 16 << 20
+	minStreamBudget     = 64 << 10
+	maxStreamBudget     = 1 << 40
 )
 
 // load reads a settings file and maps it by read.
@@ -95,6 +99,7 @@
 	hostList   string
 	addressTTL time.Duration
 	stopBound  time.Duration
+	budget     int64
 	level      zapcore.Level
 }
 
@@ -115,6 +120,7 @@
 		hostList:   addressOr(object, "host_list", ""),
 		addressTTL: seconds(object, "address_ttl_s", defaultAddressTTL),
 		stopBound:  seconds(object, "stop_bound_s", defaultStopBound),
+		budget:     object.IntOr("stream_budget_bytes", defaultStreamBudget, minStreamBudget, maxStreamBudget),
 		level:      logLevel(object),
 	}
 }
@@ -146,6 +152,9 @@
 // StopBound returns how long a graceful stop may take.
 func (e Entry) StopBound() time.Duration { return e.stopBound }
 
+// StreamBudget returns how many bytes of answers stalled streams may hold.
+func (e Entry) StreamBudget() int64 { return e.budget }
+
 // LogLevel returns the lowest level that is logged.
 func (e Entry) LogLevel() zapcore.Level { return e.level }
 
--- a/internal/webio/exchange.go
+++ b/internal/webio/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 // ErrCallerGone says that an answer can't be written, since the caller has
@@ -153,5 +154,22 @@
 	return s.buffer.Flush()
 }
 
+// Pending returns how many bytes the caller's side hasn't acknowledged yet, zero
+// if the connection has ended.
+func (s *Stream) Pending() int {
+	raw, err := s.conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	pending := 0
+	err = raw.Control(func(fd uintptr) {
+		pending, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	if err != nil {
+		return 0
+	}
+	return pending
+}
+
 // Abort ends the connection without the end of the answer.
 func (s *Stream) Abort() { _ = s.conn.Close() }
