--- a/cmd/lentilstand/agent.go
+++ b/cmd/lentilstand/agent.go
@@ -28,18 +28,9 @@
 	logger := event.NewLogger(settings.LogLevel(), "agent", settings.Name())
 	defer func() { _ = logger.Sync() }()
 	a, err := agent.New(settings, logger)
-	if err == nil {
-		err = a.Start()
-	}
 	if err != nil {
 		fmt.Fprintln(errs, err)
 		return exitFailed
 	}
-	<-ctx.Done()
-	bounded, cancel := context.WithTimeout(context.Background(), settings.StopBound())
-	defer cancel()
-	if a.Stop(bounded) > 0 {
-		return exitFailed
-	}
-	return exitOK
+	return runDaemon(ctx, a, settings.StopBound(), errs)
 }
--- a/cmd/lentilstand/entry.go
+++ b/cmd/lentilstand/entry.go
@@ -28,18 +28,9 @@
 	logger := event.NewLogger(settings.LogLevel(), "entry", settings.Name())
 	defer func() { _ = logger.Sync() }()
 	e, err := entry.New(settings, logger)
-	if err == nil {
-		err = e.Start()
-	}
 	if err != nil {
 		fmt.Fprintln(errs, err)
 		return exitFailed
 	}
-	<-ctx.Done()
-	bounded, cancel := context.WithTimeout(context.Background(), settings.StopBound())
-	defer cancel()
-	if e.Stop(bounded) > 0 {
-		return exitFailed
-	}
-	return exitOK
+	return runDaemon(ctx, e, settings.StopBound(), errs)
 }
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -5,16 +5,11 @@
 package bench
 
 import (
-	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -254,52 +249,6 @@
 	return chain.Begin(ctx, client, config.First(cfg, time.Now()), "bench")
 }
 
-func (b *Bench) firstConfig() []byte {
-	var text bytes.Buffer
-	text.WriteString(`{"data_centres": [`)
-	for i, name := range b.spec.DataCentres {
-		fmt.Fprintf(&text, `%s{"name": %q, "region": %q}`, comma(i), name, b.spec.Region)
-	}
-	text.WriteString(`], "services": [`)
-	for i, service := range b.spec.Services {
-		fmt.Fprintf(&text, `%s{"name": %q, "kind": %q, "repeatable": %t`, comma(i), service.Name, service.Kind, service.Repeatable)
-		if service.PathPrefix != "" {
-			fmt.Fprintf(&text, `, "path_prefix": %q`, service.PathPrefix)
-		}
-		if service.Extra != "" {
-			text.WriteString(", " + service.Extra)
-		}
-		text.WriteString("}")
-	}
-	text.WriteString(`], "models": [`)
-	models := 0
-	for _, service := range b.spec.Services {
-		if service.Kind == config.KindModel {
-			fmt.Fprintf(&text, `%s{"name": %q, "service": %q}`, comma(models), service.Name, service.Name)
-			models++
-		}
-	}
-	text.WriteString(`], "teams": [`)
-	for i, team := range b.spec.Teams {
-		sum := sha256.Sum256([]byte(Key(team)))
-		fmt.Fprintf(&text, `%s{"name": %q, "key_sha256": %q}`, comma(i), team, hex.EncodeToString(sum[:]))
-	}
-	text.WriteString(`], "endpoints": [`)
-	for i, object := range b.objects {
-		text.WriteString(comma(i))
-		text.Write(object)
-	}
-	text.WriteString(`]}`)
-	return text.Bytes()
-}
-
-func comma(i int) string {
-	if i == 0 {
-		return ""
-	}
-	return ", "
-}
-
 func (b *Bench) startEntry(node Node, hostAddr string) error {
 	ttl := int(b.spec.AddressTTL.Seconds())
 	text := fmt.Sprintf(`{"name": %q, "data_centre": %q, "listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0", "admin_listen": "127.0.0.1:0", "key_value": %q, "host_list": %q, "address_ttl_s": %d}`,
@@ -407,60 +356,6 @@
 	delete(b.entries, name)
 }
 
-// Submit submits a patch at an entry.
-func (b *Bench) Submit(ctx context.Context, name string, base uint64, patch string) (entry.Submission, error) {
-	target := fmt.Sprintf("http://%s/patches?base=%d&file=%s", b.Entry(name).AdminAddress(), base, url.QueryEscape("patch"))
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader([]byte(patch)))
-	if err != nil {
-		return entry.Submission{}, eris.Wrap(err, "can't submit a patch")
-	}
-	response, err := b.client.Do(request)
-	if err != nil {
-		return entry.Submission{}, eris.Wrap(err, "can't submit a patch")
-	}
-	defer response.Body.Close()
-	var submission entry.Submission
-	if err := json.NewDecoder(response.Body).Decode(&submission); err != nil {
-		return entry.Submission{}, eris.Wrap(err, "can't read the answer to a patch")
-	}
-	return submission, nil
-}
-
-// OutPatch returns a patch that takes a data centre out, or back in.
-func OutPatch(region, dataCentre string, out bool) string {
-	return fmt.Sprintf(`{"who": "bench", "why": "maintenance", "set": {"data_centres": [{"name": %q, "region": %q, "out": %t}]}}`,
-		dataCentre, region, out)
-}
-
-// Answer is an answer with its whole body.
-type Answer struct {
-	Status int
-	Header http.Header
-	Body   []byte
-}
-
-// Call sends a request to an entry and returns the whole answer. Where the
-// answer breaks off, what has come of it is returned with the error.
-func (b *Bench) Call(ctx context.Context, address, team, method, path, body string, header http.Header) (Answer, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader([]byte(body)))
-	if err != nil {
-		return Answer{}, eris.Wrap(err, "can't make a request")
-	}
-	for name, values := range header {
-		request.Header[name] = values
-	}
-	if team != "" {
-		request.Header.Set("Authorization", "Bearer "+Key(team))
-	}
-	response, err := b.client.Do(request)
-	if err != nil {
-		return Answer{}, eris.Wrap(err, "a request has failed")
-	}
-	defer response.Body.Close()
-	whole, err := io.ReadAll(response.Body)
-	return Answer{Status: response.StatusCode, Header: response.Header, Body: whole}, err
-}
-
 // Close ends everything.
 func (b *Bench) Close() {
 	b.client.CloseIdleConnections()
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -47,28 +47,28 @@
 	"X-Priority":    true,
 }
 
-// trial is one attempt at a request under a credit.
-type trial struct {
-	flight *flight
-	grant  *grant
-	number uint32
-	base   uint64
-	taken  uint64
-	acked  uint64
-	began  bool
-	parked atomic.Bool
+// attempt is one attempt at a request under a credit.
+type attempt struct {
+	inflight *inflight
+	grant    *grant
+	number   uint32
+	base     uint64
+	taken    uint64
+	acked    uint64
+	began    bool
+	parked   atomic.Bool
 }
 
 // attempt sends the request to the endpoint of a grant and passes its answer to
 // the caller.
-func (f *flight) attempt(ctx context.Context, g *grant) attemptEnd {
+func (f *inflight) attempt(ctx context.Context, g *grant) attemptEnd {
 	defer g.stream.Close()
 	f.log.Begin(g.endpoint.Name())
-	t := &trial{flight: f, grant: g, number: uint32(len(f.log.Attempts())), base: f.answer.offset()}
+	t := &attempt{inflight: f, grant: g, number: uint32(len(f.log.Attempts())), base: f.answer.offset()}
 	stop := context.AfterFunc(ctx, g.stream.Close)
 	defer stop()
 	end := t.run()
-	f.judgeEnd(end, g)
+	f.recordCrash(end, g)
 	if !end.done && !end.parked {
 		t.settle()
 		event.AttemptFailed.Log(f.entry.logger,
@@ -80,35 +80,35 @@
 	return end
 }
 
-// judgeEnd holds the death of an endpoint against the request, and clears one
+// recordCrash holds the death of an endpoint against the request, and clears one
 // that has completed alone.
-func (f *flight) judgeEnd(end attemptEnd, g *grant) {
+func (f *inflight) recordCrash(end attemptEnd, g *grant) {
 	switch {
 	case end.died:
 		f.entry.crashes.death(f.fingerprint(), g.alone)
 	case end.done && g.alone:
-		f.entry.crashes.acquit(f.fingerprint())
+		f.entry.crashes.clear(f.fingerprint())
 	}
 }
 
 // settle finds out whether an attempt that has no answer has run. Where the
 // credit can be revoked it has not, even if its message is still on its way.
-func (t *trial) settle() {
-	attempts := t.flight.log.Attempts()
+func (t *attempt) settle() {
+	attempts := t.inflight.log.Attempts()
 	state := attempts[len(attempts)-1].State()
 	if state != retry.Sent && state != retry.Unknown {
 		return
 	}
 	if t.grant.link.revoke(t.grant.incarnation, t.grant.credit) {
-		t.flight.log.Mark(retry.Refused)
+		t.inflight.log.Mark(retry.Refused)
 		return
 	}
-	t.flight.log.Mark(retry.Unknown)
+	t.inflight.log.Mark(retry.Unknown)
 }
 
-func (t *trial) run() attemptEnd {
+func (t *attempt) run() attemptEnd {
 	// From here on the request may arrive even if writing fails.
-	t.flight.log.Mark(retry.Sent)
+	t.inflight.log.Mark(retry.Sent)
 	if err := t.grant.stream.Write(t.message()); err != nil {
 		return attemptEnd{code: "endpoint_lost", message: "the connection to the endpoint was lost"}
 	}
@@ -126,8 +126,8 @@
 	}
 }
 
-func (t *trial) message() *wirepb.Frame {
-	f := t.flight
+func (t *attempt) message() *wirepb.Frame {
+	f := t.inflight
 	request := f.exchange.Request()
 	attempt := &wirepb.Attempt{
 		Request:   f.id,
@@ -160,10 +160,10 @@
 }
 
 // take takes in one frame of the answer. Over reports that it was the last.
-func (t *trial) take(message *wirepb.Frame) (end attemptEnd, over bool) {
+func (t *attempt) take(message *wirepb.Frame) (end attemptEnd, over bool) {
 	switch body := message.GetBody().(type) {
 	case *wirepb.Frame_Refused:
-		t.flight.log.Mark(retry.Refused)
+		t.inflight.log.Mark(retry.Refused)
 		return attemptEnd{code: body.Refused.GetCode(), message: body.Refused.GetMessage()}, true
 	case *wirepb.Frame_Head:
 		return t.takeHead(body.Head)
@@ -172,42 +172,42 @@
 	case *wirepb.Frame_End:
 		return t.takeEnd(body.End)
 	default:
-		event.FrameRefused.Log(t.flight.entry.logger, zap.String("endpoint", t.grant.endpoint.Name()))
+		event.FrameRefused.Log(t.inflight.entry.logger, zap.String("endpoint", t.grant.endpoint.Name()))
 		return attemptEnd{begun: t.began, code: "endpoint_failed", message: "the endpoint's agent sent a frame out of place"}, true
 	}
 }
 
 // own reports whether a frame belongs to this attempt.
-func (t *trial) own(request string, attempt uint32) bool {
-	return request == t.flight.id && attempt == t.number
+func (t *attempt) own(request string, attempt uint32) bool {
+	return request == t.inflight.id && attempt == t.number
 }
 
-func (t *trial) takeHead(head *wirepb.Head) (attemptEnd, bool) {
+func (t *attempt) takeHead(head *wirepb.Head) (attemptEnd, bool) {
 	if !t.own(head.GetRequest(), head.GetAttempt()) || t.began {
 		return attemptEnd{}, false
 	}
-	t.flight.log.Mark(retry.Run)
+	t.inflight.log.Mark(retry.Run)
 	t.began = true
 	header := responseHeader(head.GetHeaders())
-	if t.flight.answer.begun() {
+	if t.inflight.answer.begun() {
 		return t.resume(int(head.GetStatus()), header)
 	}
-	streaming := t.flight.streaming && strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+	streaming := t.inflight.streaming && strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
 	header.Set(versionHeader, strconv.FormatUint(t.grant.version, 10))
-	if err := t.flight.answer.begin(int(head.GetStatus()), header, streaming); err != nil {
+	if err := t.inflight.answer.begin(int(head.GetStatus()), header, streaming); err != nil {
 		return t.callerLost(err), true
 	}
 	return attemptEnd{}, false
 }
 
 // resume checks that the endpoint goes on with the same answer.
-func (t *trial) resume(status int, header http.Header) (attemptEnd, bool) {
+func (t *attempt) resume(status int, header http.Header) (attemptEnd, bool) {
 	confirmed := t.base == 0 || header.Get(headerResume) == strconv.FormatUint(t.base, 10)
-	sameModel := header.Get(headerModelVersion) == t.flight.answer.modelVersion()
+	sameModel := header.Get(headerModelVersion) == t.inflight.answer.modelVersion()
 	if status == http.StatusOK && confirmed && sameModel {
 		return attemptEnd{}, false
 	}
-	t.flight.answer.forbidResume()
+	t.inflight.answer.forbidResume()
 	return attemptEnd{begun: true, code: "endpoint_failed", message: "the answer broke off and can't be resumed"}, true
 }
 
@@ -222,7 +222,7 @@
 	return header
 }
 
-func (t *trial) takeChunk(chunk *wirepb.Chunk) (attemptEnd, bool) {
+func (t *attempt) takeChunk(chunk *wirepb.Chunk) (attemptEnd, bool) {
 	if !t.own(chunk.GetRequest(), chunk.GetAttempt()) || !t.began {
 		return attemptEnd{}, false
 	}
@@ -235,11 +235,11 @@
 	}
 	data = data[t.taken-chunk.GetOffset():]
 	if t.taken == 0 && t.base == 0 {
-		f := t.flight
+		f := t.inflight
 		f.entry.firstBytes.Record(time.Since(f.began).Seconds(), f.service.Name())
 	}
 	t.taken += uint64(len(data))
-	f := t.flight
+	f := t.inflight
 	f.entry.teams.hold(f.team.Name(), int64(len(data)))
 	err := t.writeToCaller(data)
 	f.entry.teams.hold(f.team.Name(), -int64(len(data)))
@@ -251,7 +251,7 @@
 }
 
 // openWindow tells the agent what has been taken, once it is worth a frame.
-func (t *trial) openWindow() {
+func (t *attempt) openWindow() {
 	if t.taken-t.acked < link.WindowBytes/2 {
 		return
 	}
@@ -260,26 +260,26 @@
 	_ = t.grant.stream.Write(&wirepb.Frame{Body: &wirepb.Frame_Window{Window: &wirepb.Window{Offset: t.taken}}})
 }
 
-func (t *trial) callerLost(err error) attemptEnd {
-	t.flight.answer.forbidResume()
+func (t *attempt) callerLost(err error) attemptEnd {
+	t.inflight.answer.forbidResume()
 	if errors.Is(err, webio.ErrCallerGone) {
-		event.CallerStalled.Log(t.flight.entry.logger, zap.String("request", t.flight.id), event.Error(err))
+		event.CallerStalled.Log(t.inflight.entry.logger, zap.String("request", t.inflight.id), event.Error(err))
 	}
 	return attemptEnd{begun: true, code: "caller_gone", message: "the caller took no more of its answer"}
 }
 
-func (t *trial) takeEnd(last *wirepb.End) (attemptEnd, bool) {
+func (t *attempt) takeEnd(last *wirepb.End) (attemptEnd, bool) {
 	if !t.own(last.GetRequest(), last.GetAttempt()) {
 		return attemptEnd{}, false
 	}
 	if !t.began {
-		t.flight.log.Mark(retry.Unknown)
+		t.inflight.log.Mark(retry.Unknown)
 		return attemptEnd{died: last.GetDied(), code: "endpoint_failed", message: last.GetError()}, true
 	}
 	if last.GetError() != "" || last.GetLength() != t.taken {
 		return attemptEnd{begun: true, died: last.GetDied(), code: "endpoint_failed", message: "the answer broke off: " + last.GetError()}, true
 	}
-	if err := t.flight.answer.finish(); err != nil {
+	if err := t.inflight.answer.finish(); err != nil {
 		return t.callerLost(err), true
 	}
 	return attemptEnd{done: true}, true
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -32,7 +32,7 @@
 const headerReplayed = "Lentilstand-Replayed"
 
 // serveClaimed answers a request that must run at most once, with a key.
-func (f *flight) serveClaimed(ctx context.Context, key string) {
+func (f *inflight) serveClaimed(ctx context.Context, key string) {
 	if len(key) > maxKeyBytes {
 		f.finish(apierr.New(http.StatusBadRequest, "malformed_key", "the idempotency key is too long"))
 		return
@@ -54,7 +54,7 @@
 }
 
 // runClaimed runs a request whose key this entry owns.
-func (f *flight) runClaimed(ctx context.Context, taken *claim.Claim, key string) {
+func (f *inflight) runClaimed(ctx context.Context, taken *claim.Claim, key string) {
 	settled := false
 	f.answer.observe(func(status int, header http.Header, body []byte) {
 		settled = true
@@ -69,7 +69,7 @@
 
 // settleClaim keeps the outcome before the caller gets it. A caller who asks
 // again finds it, or finds that the outcome is unknown.
-func (f *flight) settleClaim(taken *claim.Claim, outcome claim.Outcome) {
+func (f *inflight) settleClaim(taken *claim.Claim, outcome claim.Outcome) {
 	ctx, cancel := context.WithTimeout(context.Background(), claimBound)
 	defer cancel()
 	if err := taken.Settle(ctx, outcome); err != nil {
@@ -79,7 +79,7 @@
 
 // failClaim gives up the claim of a request that has provably not run. Where it
 // may have run, the claim stays and the caller gets a handle to ask by.
-func (f *flight) failClaim(taken *claim.Claim, failure *apierr.Error, key string) *apierr.Error {
+func (f *inflight) failClaim(taken *claim.Claim, failure *apierr.Error, key string) *apierr.Error {
 	if f.log.Outcome() != retry.OutcomeNotRun {
 		return apierr.New(http.StatusBadGateway, "outcome_unknown",
 			"the request may have run; ask for its outcome before sending it with another key",
@@ -107,7 +107,7 @@
 }
 
 // replay answers a duplicate with the first request's outcome.
-func (f *flight) replay(ctx context.Context, key string, record claim.Record) {
+func (f *inflight) replay(ctx context.Context, key string, record claim.Record) {
 	record, err := f.entry.claims.Await(ctx, f.team.Name(), key, record, duplicateWait)
 	if errors.Is(err, store.ErrNotFound) {
 		// The first one has provably not run and has given up its claim.
@@ -119,7 +119,7 @@
 }
 
 // replyRecord answers with what is known of a claimed key.
-func (f *flight) replyRecord(key string, record claim.Record) {
+func (f *inflight) replyRecord(key string, record claim.Record) {
 	if !record.Done() {
 		f.finish(apierr.New(http.StatusConflict, "outcome_unknown",
 			"a request with this key is in progress or its outcome is unknown",
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -70,7 +70,7 @@
 		last = answer
 	}
 	wait.Wait()
-	require.LessOrEqual(t, falls(), 2, "the second death convicts")
+	require.LessOrEqual(t, falls(), 2, "the second death blocks")
 	var failure wireError
 	require.NoError(t, json.Unmarshal(last.Body, &failure))
 	require.Equal(t, "request_crashes_endpoints", failure.Error.Code)
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -48,18 +48,18 @@
 	return len(c.shared) == 0 && len(c.own) == 0
 }
 
-// verdict returns what is held against a request.
-func (c *crashes) verdict(fingerprint string) crash.Verdict {
+// state returns what is held against a request.
+func (c *crashes) state(fingerprint string) crash.State {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	verdict := c.shared[fingerprint].Verdict()
-	if convicted, ok := c.own[fingerprint]; ok {
-		verdict = max(verdict, crash.Suspect)
-		if convicted {
-			verdict = crash.Convicted
+	state := c.shared[fingerprint].State()
+	if blocked, ok := c.own[fingerprint]; ok {
+		state = max(state, crash.Isolated)
+		if blocked {
+			state = crash.Blocked
 		}
 	}
-	return verdict
+	return state
 }
 
 // death notes that an endpoint died of a request, perhaps.
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashBound)
 	defer cancel()
 	record, err := crash.Death(ctx, c.store, fingerprint, alone)
-	event.RequestSuspected.Log(c.logger,
+	event.RequestIsolated.Log(c.logger,
 		zap.String("fingerprint", fingerprint),
 		zap.Bool("alone", alone),
 		zap.Int("deaths", record.Deaths()),
@@ -86,8 +86,8 @@
 	}
 }
 
-// acquit clears a request that has completed alone.
-func (c *crashes) acquit(fingerprint string) {
+// clear clears a request that has completed alone.
+func (c *crashes) clear(fingerprint string) {
 	c.mu.Lock()
 	delete(c.own, fingerprint)
 	delete(c.shared, fingerprint)
@@ -95,25 +95,26 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashBound)
 	defer cancel()
 	// A record that can't be removed now lapses with its lease.
-	_ = crash.Acquit(ctx, c.store, fingerprint)
+	_ = crash.Forget(ctx, c.store, fingerprint)
 }
 
 // fingerprint returns the digest by which the request is known.
-func (f *flight) fingerprint() string {
+func (f *inflight) fingerprint() string {
 	request := f.exchange.Request()
 	return claim.Fingerprint(request.Method, f.service.Name()+request.URL.RequestURI(), f.body)
 }
 
-// verdict returns what is held against the request. While nothing is held
-// against any, the digest isn't worked out.
-func (f *flight) verdict() crash.Verdict {
+// crashState returns whether the request may run. While nothing is held against
+// any request, the digest isn't worked out.
+func (f *inflight) crashState() crash.State {
 	if f.entry.crashes.isEmpty() {
 		return crash.Clear
 	}
-	return f.entry.crashes.verdict(f.fingerprint())
+	return f.entry.crashes.state(f.fingerprint())
 }
 
-func (f *flight) convicted() *apierr.Error {
+// blocked refuses a request that endpoints have died of.
+func (f *inflight) blocked() *apierr.Error {
 	return apierr.New(http.StatusUnprocessableEntity, "request_crashes_endpoints",
 		"endpoints have died of this request; it is refused for an hour", apierr.WithOutcome(f.log.Outcome()))
 }
--- a/internal/entry/flight.go
+++ b/internal/entry/inflight.go
@@ -30,8 +30,8 @@
 // retrySoon is the advice for refusals that pass quickly.
 const retrySoon = time.Second
 
-// flight is one request on its way through the entry.
-type flight struct {
+// inflight is one request on its way through the entry.
+type inflight struct {
 	entry     *Entry
 	exchange  *webio.Exchange
 	team      config.Team
@@ -49,9 +49,9 @@
 	answer    *answer
 }
 
-func newFlight(e *Entry, exchange *webio.Exchange, team config.Team, service config.Service) *flight {
+func newInflight(e *Entry, exchange *webio.Exchange, team config.Team, service config.Service) *inflight {
 	id := uuid.NewString()
-	return &flight{
+	return &inflight{
 		entry:    e,
 		exchange: exchange,
 		team:     team,
@@ -75,7 +75,7 @@
 }
 
 // repeatable reports whether the request may run more than once.
-func (f *flight) repeatable() bool {
+func (f *inflight) repeatable() bool {
 	switch f.exchange.Request().Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions:
 		return true
@@ -85,7 +85,7 @@
 }
 
 // serve answers the request.
-func (f *flight) serve() {
+func (f *inflight) serve() {
 	timeout, refusal := f.timeout()
 	if refusal == nil {
 		refusal = f.admissible()
@@ -111,7 +111,7 @@
 }
 
 // timeout returns how long the request may take.
-func (f *flight) timeout() (time.Duration, *apierr.Error) {
+func (f *inflight) timeout() (time.Duration, *apierr.Error) {
 	text := f.exchange.Request().Header.Get(headerTimeout)
 	if text == "" {
 		return f.service.Timeout(), nil
@@ -125,7 +125,7 @@
 }
 
 // admissible returns why the request can't be taken at all now, or nil.
-func (f *flight) admissible() *apierr.Error {
+func (f *inflight) admissible() *apierr.Error {
 	if standing := f.entry.follower.standing(); !standing.MayServe() {
 		return apierr.New(http.StatusServiceUnavailable, "configuration_not_current",
 			"this entry can't show that its configuration is current; use another one",
@@ -140,7 +140,7 @@
 
 // run tries the request until it has an answer, no more attempt is safe or none
 // is left. It returns nil if the caller has the whole answer.
-func (f *flight) run(ctx context.Context) *apierr.Error {
+func (f *inflight) run(ctx context.Context) *apierr.Error {
 	for {
 		grant, refusal := f.reserve(ctx)
 		if refusal != nil {
@@ -165,7 +165,7 @@
 	}
 }
 
-func (f *flight) budgetKey() string { return f.service.Name() + "/" + f.team.Name() }
+func (f *inflight) budgetKey() string { return f.service.Name() + "/" + f.team.Name() }
 
 // attemptEnd is how an attempt ended.
 type attemptEnd struct {
@@ -179,7 +179,7 @@
 
 // mayRetry returns the error with which the request ends after a failed
 // attempt, or nil if it may be tried once more.
-func (f *flight) mayRetry(ctx context.Context, end attemptEnd) *apierr.Error {
+func (f *inflight) mayRetry(ctx context.Context, end attemptEnd) *apierr.Error {
 	failure := f.failure(end)
 	switch {
 	case f.exchange.Context().Err() != nil:
@@ -198,7 +198,7 @@
 	return nil
 }
 
-func (f *flight) failure(end attemptEnd) *apierr.Error {
+func (f *inflight) failure(end attemptEnd) *apierr.Error {
 	outcome := f.log.Outcome()
 	if outcome == retry.OutcomeUnknown || end.begun {
 		return apierr.New(http.StatusBadGateway, "endpoint_failed", end.message, apierr.WithOutcome(outcome))
@@ -207,12 +207,12 @@
 		apierr.WithOutcome(outcome), apierr.WithRetryAfter(retrySoon))
 }
 
-func (f *flight) timedOut() *apierr.Error {
+func (f *inflight) timedOut() *apierr.Error {
 	return apierr.New(http.StatusGatewayTimeout, "timeout", "the request took longer than it may",
 		apierr.WithOutcome(f.log.Outcome()))
 }
 
-func (f *flight) callerGone() *apierr.Error {
+func (f *inflight) callerGone() *apierr.Error {
 	event.CallerGone.Log(f.entry.logger, zap.String("request", f.id), zap.String("team", f.team.Name()))
 	return apierr.New(statusCallerGone, "caller_gone", "the caller has gone", apierr.WithOutcome(f.log.Outcome()))
 }
@@ -221,7 +221,7 @@
 const statusCallerGone = 499
 
 // finish gives the caller the error with which the request ended, if it did.
-func (f *flight) finish(failure *apierr.Error) {
+func (f *inflight) finish(failure *apierr.Error) {
 	f.keep(failure)
 	if failure == nil {
 		f.entry.requests.Add(1, "served")
@@ -246,7 +246,7 @@
 }
 
 // keep adds the request to the records that audits replay.
-func (f *flight) keep(failure *apierr.Error) {
+func (f *inflight) keep(failure *apierr.Error) {
 	code := ""
 	if failure != nil {
 		code = failure.Code()
@@ -261,7 +261,7 @@
 }
 
 // enterQueue waits for the request's turn among those of its service.
-func (f *flight) enterQueue(ctx context.Context, queue *admit.Queue) *apierr.Error {
+func (f *inflight) enterQueue(ctx context.Context, queue *admit.Queue) *apierr.Error {
 	ticket := admit.NewTicket(f.team.Name(), f.team.Weight(), f.team.Priority(), int64(len(f.body)))
 	err := queue.Enter(ctx, ticket)
 	switch {
@@ -279,7 +279,7 @@
 	}
 }
 
-func (f *flight) waitedTooLong(queue *admit.Queue) *apierr.Error {
+func (f *inflight) waitedTooLong(queue *admit.Queue) *apierr.Error {
 	return apierr.New(http.StatusTooManyRequests, "queue_timeout", "no endpoint came free in time",
 		apierr.WithOutcome(f.log.Outcome()), apierr.WithRetryAfter(queue.RetryAfter()))
 }
--- a/internal/entry/park.go
+++ b/internal/entry/park.go
@@ -32,7 +32,7 @@
 	logger *zap.Logger
 
 	mu      sync.Mutex
-	stalled []*trial
+	stalled []*attempt
 	parked  int64
 }
 
@@ -42,7 +42,7 @@
 
 // stall counts a stream as stalled, and parks streams while the budget is
 // exceeded.
-func (p *parking) stall(t *trial) {
+func (p *parking) stall(t *attempt) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stalled = append(p.stalled, t)
@@ -52,29 +52,29 @@
 		p.parked++
 		victim.park()
 		event.StreamParked.Log(p.logger,
-			zap.String("request", victim.flight.id),
-			zap.String("team", victim.flight.team.Name()))
+			zap.String("request", victim.inflight.id),
+			zap.String("team", victim.inflight.team.Name()))
 	}
 }
 
 // lowest returns the stalled stream of the lowest priority, the newest if there
 // are several.
-func (p *parking) lowest() *trial {
+func (p *parking) lowest() *attempt {
 	lowest := p.stalled[len(p.stalled)-1]
 	for _, t := range slices.Backward(p.stalled) {
-		if cmp.Less(t.flight.team.Priority(), lowest.flight.team.Priority()) {
+		if cmp.Less(t.inflight.team.Priority(), lowest.inflight.team.Priority()) {
 			lowest = t
 		}
 	}
 	return lowest
 }
 
-func (p *parking) drop(t *trial) {
-	p.stalled = slices.DeleteFunc(p.stalled, func(other *trial) bool { return other == t })
+func (p *parking) drop(t *attempt) {
+	p.stalled = slices.DeleteFunc(p.stalled, func(other *attempt) bool { return other == t })
 }
 
 // goOn takes note that a caller has taken what its stream waited with.
-func (p *parking) goOn(t *trial) {
+func (p *parking) goOn(t *attempt) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.drop(t)
@@ -89,21 +89,21 @@
 
 // park cancels the stream's work at the engine. The attempt ends when the write
 // that waits has been taken.
-func (t *trial) park() {
+func (t *attempt) park() {
 	t.parked.Store(true)
 	t.grant.stream.Close()
 }
 
 // writeToCaller writes a piece and counts the stream as stalled while it waits
 // for long.
-func (t *trial) writeToCaller(data []byte) error {
-	parking := t.flight.entry.parking
-	if !t.flight.answer.canPark() {
-		return t.flight.answer.write(data)
+func (t *attempt) writeToCaller(data []byte) error {
+	parking := t.inflight.entry.parking
+	if !t.inflight.answer.canPark() {
+		return t.inflight.answer.write(data)
 	}
 	var stalled sync.Once
 	timer := time.AfterFunc(stallAfter, func() { stalled.Do(func() { parking.stall(t) }) })
-	err := t.flight.answer.write(data)
+	err := t.inflight.answer.write(data)
 	timer.Stop()
 	// Once the write is done the stream must not be counted any more.
 	stalled.Do(func() {})
@@ -112,7 +112,7 @@
 }
 
 // awaitDrain waits until the caller has taken what was sent to it.
-func (f *flight) awaitDrain(ctx context.Context) {
+func (f *inflight) awaitDrain(ctx context.Context) {
 	for ctx.Err() == nil && f.answer.stream.Pending() > 0 {
 		pauseUnless(ctx, drainPoll)
 	}
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -57,7 +57,7 @@
 func (g *grant) release() { g.stream.Close() }
 
 // reserve finds an endpoint that gives the request a credit.
-func (f *flight) reserve(ctx context.Context) (*grant, *apierr.Error) {
+func (f *inflight) reserve(ctx context.Context) (*grant, *apierr.Error) {
 	rules := f.entry.follower.currentRules()
 	queue := f.entry.queues.of(f.service, len(rules.Usable(f.service.Name())))
 	if refusal := f.enterQueue(ctx, queue); refusal != nil {
@@ -85,13 +85,13 @@
 
 // search asks for a credit once, by the rules and loads of this moment. It
 // returns neither a grant nor a refusal if it should be called again.
-func (f *flight) search(ctx context.Context) (*grant, *apierr.Error) {
+func (f *inflight) search(ctx context.Context) (*grant, *apierr.Error) {
 	if refusal := f.admissible(); refusal != nil {
 		return nil, refusal
 	}
-	verdict := f.verdict()
-	if verdict == crash.Convicted {
-		return nil, f.convicted()
+	state := f.crashState()
+	if state == crash.Blocked {
+		return nil, f.blocked()
 	}
 	rules := f.entry.follower.currentRules()
 	usable := rules.Usable(f.service.Name())
@@ -109,7 +109,7 @@
 		return nil, nil
 	}
 	var found *grant
-	if verdict == crash.Suspect {
+	if state == crash.Isolated {
 		found = f.askAlone(ctx, rules, decision.Endpoints()[0])
 	} else {
 		found = f.ask(ctx, rules, decision.Endpoints())
@@ -125,13 +125,13 @@
 	return found, nil
 }
 
-func (f *flight) unserved(message string) *apierr.Error {
+func (f *inflight) unserved(message string) *apierr.Error {
 	return apierr.New(http.StatusServiceUnavailable, "no_endpoint", message,
 		apierr.WithOutcome(f.log.Outcome()), apierr.WithRetryAfter(retrySoon))
 }
 
 // ask asks the endpoints for a credit, first without waiting there.
-func (f *flight) ask(ctx context.Context, rules *route.Rules, endpoints []config.Endpoint) *grant {
+func (f *inflight) ask(ctx context.Context, rules *route.Rules, endpoints []config.Endpoint) *grant {
 	version := rules.Head().Number()
 	for _, endpoint := range endpoints[:min(quickTries, len(endpoints))] {
 		found, err := f.askOne(ctx, endpoint, version, 0)
@@ -147,11 +147,11 @@
 	return f.askWaiting(ctx, endpoints[:min(waitingTries, len(endpoints))], version)
 }
 
-// aloneWait is how long a suspect waits at an endpoint for a moment alone.
+// aloneWait is how long an isolated request waits at an endpoint for a moment alone.
 const aloneWait = 4 * time.Second
 
-// askAlone asks an endpoint for a credit to run a suspect alone.
-func (f *flight) askAlone(ctx context.Context, rules *route.Rules, endpoint config.Endpoint) *grant {
+// askAlone asks an endpoint for a credit to run the request alone.
+func (f *inflight) askAlone(ctx context.Context, rules *route.Rules, endpoint config.Endpoint) *grant {
 	found, err := f.askFor(ctx, endpoint, &wirepb.Reserve{
 		Version: rules.Head().Number(),
 		WaitMs:  uint32(aloneWait.Milliseconds()),
@@ -166,7 +166,7 @@
 
 // askWaiting waits at several endpoints for whichever credit comes first and
 // gives the others back.
-func (f *flight) askWaiting(ctx context.Context, endpoints []config.Endpoint, version uint64) *grant {
+func (f *inflight) askWaiting(ctx context.Context, endpoints []config.Endpoint, version uint64) *grant {
 	ctx, cancel := context.WithTimeout(ctx, reserveWait+reserveGrace)
 	defer cancel()
 	grants := make(chan *grant, len(endpoints))
@@ -198,12 +198,12 @@
 }
 
 // askOne asks one endpoint for a credit and waits there for as long as wait.
-func (f *flight) askOne(ctx context.Context, endpoint config.Endpoint, version uint64, wait time.Duration) (*grant, error) {
+func (f *inflight) askOne(ctx context.Context, endpoint config.Endpoint, version uint64, wait time.Duration) (*grant, error) {
 	return f.askFor(ctx, endpoint, &wirepb.Reserve{Version: version, WaitMs: uint32(wait.Milliseconds())})
 }
 
 // askFor asks one endpoint for what reserve says, of which it fills in the rest.
-func (f *flight) askFor(ctx context.Context, endpoint config.Endpoint, reserve *wirepb.Reserve) (*grant, error) {
+func (f *inflight) askFor(ctx context.Context, endpoint config.Endpoint, reserve *wirepb.Reserve) (*grant, error) {
 	reserve.Service = f.service.Name()
 	reserve.Entry = f.entry.settings.Name()
 	reserve.Priority = uint32(f.team.Priority())
@@ -263,7 +263,7 @@
 
 // stillAllowed reports whether the rules of this moment allow the endpoint that
 // a credit was waited for.
-func (f *flight) stillAllowed(found *grant) bool {
+func (f *inflight) stillAllowed(found *grant) bool {
 	if !f.entry.follower.standing().MayServe() {
 		return false
 	}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -211,7 +211,7 @@
 		e.refuse(exchange, notFound(inDoubt, "unknown_model", "there is no model "+chat.Model))
 		return
 	}
-	f := newFlight(e, exchange, team, service)
+	f := newInflight(e, exchange, team, service)
 	f.streaming = chat.Stream
 	f.body = body
 	f.asked = chat.Model
@@ -233,7 +233,7 @@
 		e.refuse(exchange, notFound(inDoubt, "unknown_path", "there is nothing at this path"))
 		return
 	}
-	f := newFlight(e, exchange, team, service)
+	f := newInflight(e, exchange, team, service)
 	f.body = exchange.Body()
 	f.serve()
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -31,7 +31,7 @@
 	StreamBroken     = define(2007, "stream_broken", warn, "An answer ended before its end; the caller got an error in place of a clean end.")
 	AttemptFailed    = define(2008, "attempt_failed", info, "An attempt at a request failed; `outcome` tells whether it may have run.")
 	OutcomeUnknown   = define(2009, "outcome_unknown", warn, "It isn't known whether a request has run; the caller was told so.")
-	RequestSuspected = define(2011, "request_suspected", warn, "An endpoint died while it ran a request; the request runs alone from now on, or is refused if it did.")
+	RequestIsolated  = define(2011, "request_isolated", warn, "An endpoint died while it ran a request; the request runs alone from now on, or is refused if it did.")
 	StreamParked     = define(2012, "stream_parked", info, "Slow readers held more than the budget; the stream's work was cancelled and resumes when its reader has caught up.")
 	ClaimUnsettled   = define(2010, "claim_unsettled", warn, "The outcome of a claimed request couldn't be written to the key-value service.")
 )
--- a/internal/matrix/patch_test.go
+++ b/internal/matrix/patch_test.go
@@ -163,7 +163,7 @@
 		hashes = nil
 		for _, name := range w.entriesLeft() {
 			status := w.b.Entry(name).Status().(entry.Status)
-			if status.Pending != 0 || (status.Standing != "fresh" && status.Standing != "vouched") {
+			if status.Pending != 0 || (status.Standing != "fresh" && status.Standing != "quorum") {
 				return false
 			}
 			hashes = append(hashes, status.Hash)
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -2,10 +2,10 @@
 // callers send them again and again.
 //
 // A request is known by its fingerprint. When an endpoint dies, all that ran on
-// it are suspects, the innocent ones too. A suspect runs alone from then on: if
-// the endpoint dies again it is convicted and refused, and if the request
-// completes it is cleared. Records are in the key-value service, so that all
-// entries know them, on leases, so that nothing is held against anyone for ever.
+// it are isolated, the innocent ones too: an isolated request runs alone. If the
+// endpoint dies again the request is blocked, and if it completes it is clear.
+// Records are in the key-value service, so that all entries know them, on leases,
+// so that nothing is blocked for ever.
 package crash
 
 import (
@@ -26,21 +26,21 @@
 // Kept is how long a record lasts after its last death.
 const Kept = time.Hour
 
-// deathsInCompany is how many deaths convict a request that never ran alone,
+// deathsInCompany is how many deaths block a request that never ran alone,
 // which happens if several entries send it before they know of each other.
 const deathsInCompany = 3
 
-// Verdict is what a record says of a request.
-type Verdict int
+// State is whether a request may run.
+type State int
 
-// The verdicts.
+// The states of a request.
 const (
 	// Clear says that nothing is held against the request.
-	Clear Verdict = iota
-	// Suspect says that the request may run, but alone.
-	Suspect
-	// Convicted says that the request must not run.
-	Convicted
+	Clear State = iota
+	// Isolated says that the request may run, but alone.
+	Isolated
+	// Blocked says that the request must not run.
+	Blocked
 )
 
 // Record is what is held against a request.
@@ -50,13 +50,13 @@
 	revision uint64
 }
 
-// Verdict returns what the record says. The zero Record is clear.
-func (r Record) Verdict() Verdict {
+// State returns what the record says. The zero Record is clear.
+func (r Record) State() State {
 	switch {
 	case r.alone > 0 || r.deaths >= deathsInCompany:
-		return Convicted
+		return Blocked
 	case r.deaths > 0:
-		return Suspect
+		return Isolated
 	default:
 		return Clear
 	}
@@ -142,8 +142,8 @@
 	return Record{}, store.ErrConflict
 }
 
-// Acquit removes the record of a request that has completed alone.
-func Acquit(ctx context.Context, s Store, fingerprint string) error {
+// Forget removes the record of a request that has completed alone.
+func Forget(ctx context.Context, s Store, fingerprint string) error {
 	key := Prefix + fingerprint
 	record, err := read(ctx, s, key)
 	if err != nil || record.revision == 0 {
--- a/pkg/quorum/model_test.go
+++ b/pkg/quorum/model_test.go
@@ -40,7 +40,7 @@
 	noMajority mutant = "no majority"
 	// anyView counts the words of peers that hold another view.
 	anyView mutant = "any view"
-	// sameVoter lets a restarted entry vouch by the vote of its earlier run.
+	// sameVoter lets a restarted entry confirm by the vote of its earlier run.
 	sameVoter mutant = "same voter"
 	// headOnly doesn't make entries obey the pending version.
 	headOnly mutant = "head only"
@@ -97,7 +97,7 @@
 	c.nodes = nil
 	for _, node := range m.nodes {
 		n := *node
-		n.vouches = maps.Clone(node.vouches)
+		n.acks = maps.Clone(node.acks)
 		c.nodes = append(c.nodes, &n)
 	}
 	if m.round != nil {
@@ -256,8 +256,8 @@
 	}
 	for _, node := range m.nodes {
 		fmt.Fprintf(&b, "|%s %v %d", node.self, node.view.Terms(), m.age(node.freshAt))
-		for _, peer := range slices.Sorted(maps.Keys(node.vouches)) {
-			fmt.Fprintf(&b, " %s%v%d", peer, node.vouches[peer].terms, m.age(node.vouches[peer].at))
+		for _, peer := range slices.Sorted(maps.Keys(node.acks)) {
+			fmt.Fprintf(&b, " %s%v%d", peer, node.acks[peer].terms, m.age(node.acks[peer].at))
 		}
 	}
 	return b.String()
@@ -456,7 +456,7 @@
 }
 
 // rejoin is the history that shows why a restarted process is another voter:
-// one that has promised to obey the pending version forgets it, and vouches for
+// one that has promised to obey the pending version forgets it, and confirms
 // the old one.
 func rejoin(m *model) string {
 	m.stage(0, false)
--- a/pkg/quorum/node.go
+++ b/pkg/quorum/node.go
@@ -98,8 +98,8 @@
 	return t.head > other.head
 }
 
-// vouch is a peer's word that it holds a view.
-type vouch struct {
+// ack is a peer's acknowledgement that it holds a view.
+type ack struct {
 	at    time.Time
 	terms Terms
 }
@@ -110,13 +110,13 @@
 	timing  Timing
 	view    View
 	freshAt time.Time
-	vouches map[string]vouch
+	acks    map[string]ack
 }
 
 // NewNode returns the state of an entry that knows nothing yet. Self is the
 // name of this run of the process; a restarted process is another voter.
 func NewNode(self string, timing Timing) *Node {
-	return &Node{self: self, timing: timing, vouches: make(map[string]vouch)}
+	return &Node{self: self, timing: timing, acks: make(map[string]ack)}
 }
 
 // Self returns the name by which the node has a vote.
@@ -159,7 +159,7 @@
 // peer's view was current, less the time that the answer may have taken; it is
 // the zero time if the peer can't tell.
 func (n *Node) Hear(peer string, terms Terms, asked, readAt time.Time) {
-	n.vouches[peer] = vouch{at: asked, terms: terms}
+	n.acks[peer] = ack{at: asked, terms: terms}
 	if terms.Newest() == n.view.Terms().Newest() {
 		n.refresh(readAt)
 	}
@@ -190,16 +190,16 @@
 	StandingNoVote
 	// StandingFresh says that the node has heard of the service in time.
 	StandingFresh
-	// StandingVouched says that a majority holds the node's view.
-	StandingVouched
+	// StandingQuorum says that a majority holds the node's view.
+	StandingQuorum
 )
 
 // MayServe reports whether the standing allows new work.
-func (s Standing) MayServe() bool { return s == StandingFresh || s == StandingVouched }
+func (s Standing) MayServe() bool { return s == StandingFresh || s == StandingQuorum }
 
 // String returns the standing's name.
 func (s Standing) String() string {
-	return [...]string{"stale", "no_vote", "fresh", "vouched"}[s]
+	return [...]string{"stale", "no_vote", "fresh", "quorum"}[s]
 }
 
 // Standing returns whether the node may take new work now, and why.
@@ -209,14 +209,14 @@
 		return StandingNoVote
 	case n.IsFresh(now):
 		return StandingFresh
-	case n.isVouched(now):
-		return StandingVouched
+	case n.hasQuorum(now):
+		return StandingQuorum
 	default:
 		return StandingStale
 	}
 }
 
-func (n *Node) isVouched(now time.Time) bool {
+func (n *Node) hasQuorum(now time.Time) bool {
 	holds := func(voter string) bool { return voter == n.self || n.holdsSame(voter, now) }
 	if !isMajority(n.view.head.Voters(), holds) {
 		return false
@@ -225,7 +225,7 @@
 }
 
 func (n *Node) holdsSame(peer string, now time.Time) bool {
-	word, ok := n.vouches[peer]
+	word, ok := n.acks[peer]
 	return ok && now.Sub(word.at) <= n.timing.evidence && word.terms == n.view.Terms()
 }
 
@@ -235,14 +235,14 @@
 	if peer == n.self {
 		return n.view.Terms().Newest() >= term
 	}
-	return n.vouches[peer].terms.Newest() >= term
+	return n.acks[peer].terms.Newest() >= term
 }
 
 // Forget drops the words of peers that have no vote any more.
 func (n *Node) Forget() {
-	for peer := range n.vouches {
+	for peer := range n.acks {
 		if !slices.Contains(n.view.head.Voters(), peer) && !slices.Contains(n.view.pending.Voters(), peer) {
-			delete(n.vouches, peer)
+			delete(n.acks, peer)
 		}
 	}
 }
