internal/entry: a service that comes back with an older head

Cause: that an older head is an alarm and no order was in the model only. Change: the stand-in can go back to an earlier state; a test accepts a version, lets the service forget it, and wants both entries to stay at it and to serve by each other's acknowledgement. The alarm is logged once for each older state instead of twice a second. Conclusion: entries that know better keep the accepted version; a new process could not tell (docs/PROOFS.md).

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -51,6 +51,7 @@
 	pending   *config.Version
 	members   []member.Member
 	kvView    quorum.View
+	older     quorum.Terms
 	revision  uint64
 	reachable bool
 	serving   bool
@@ -187,9 +188,7 @@
 	defer f.mu.Unlock()
 	changed, older := f.node.Learn(view, at)
 	if older {
-		event.VersionWentBack.Log(f.logger,
-			zap.Uint64("known_term", f.node.View().Terms().Newest()),
-			zap.Uint64("shown_term", view.Terms().Newest()))
+		f.logOlder(view)
 		return
 	}
 	if !changed || head == nil {
@@ -198,6 +197,18 @@
 	f.publish(head, pending)
 }
 
+// logOlder logs an older state of the service, once for each that it shows.
+// The caller holds the lock.
+func (f *follower) logOlder(view quorum.View) {
+	if view.Terms() == f.older {
+		return
+	}
+	f.older = view.Terms()
+	event.VersionWentBack.Log(f.logger,
+		zap.Uint64("known_term", f.node.View().Terms().Newest()),
+		zap.Uint64("shown_term", view.Terms().Newest()))
+}
+
 // publish makes the versions of a new view the rules. The caller holds the
 // lock.
 func (f *follower) publish(head, pending *config.Version) {
--- /dev/null
+++ b/internal/entry/older_test.go
@@ -0,0 +1,48 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/lentilstand/lentilstand/internal/bench"
+	"github.com/lentilstand/lentilstand/internal/entry"
+	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/internal/stand"
+)
+
+// TestOlderHeadIsNotObeyed lets the key-value service come back with an older
+// state after a version was accepted.
+func TestOlderHeadIsNotObeyed(t *testing.T) {
+	core, logs := observer.New(zapcore.InfoLevel)
+	spec := twoEntries(stand.DefaultEngineSpec())
+	spec.Logger = zap.New(core)
+	spec.DataCentres = append(spec.DataCentres, "manastur")
+	b := startBench(t, spec)
+	require.Eventually(t, func() bool {
+		return len(b.Entry("entry-1").Status().(entry.Status).Voters) == 2
+	}, 10*time.Second, 10*time.Millisecond)
+	before := b.KVCore().Remember()
+	submission, err := b.Submit(context.Background(), "entry-1", 1, bench.OutPatch("r", "manastur", true))
+	require.NoError(t, err)
+	require.Equal(t, entry.ResultAccepted, submission.Result, submission)
+	b.KVCore().GoBack(before)
+	require.Eventually(t, func() bool {
+		return logs.FilterField(zap.Int("event", event.VersionWentBack.Number())).Len() > 0
+	}, 5*time.Second, 10*time.Millisecond)
+	time.Sleep(3 * time.Second)
+	for _, name := range []string{"entry-1", "entry-2"} {
+		status := b.Entry(name).Status().(entry.Status)
+		require.Equal(t, submission.Version, status.Version, "no entry goes back")
+		require.Equal(t, "quorum", status.Standing, "the entries go on by each other's word")
+		answer, err := b.Call(context.Background(), b.Entry(name).Address(), "a", http.MethodPost, "/v1/chat/completions", chatOf("x", 2), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.Status)
+	}
+}
--- a/internal/stand/kv.go
+++ b/internal/stand/kv.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -271,6 +272,30 @@
 	k.frozen = &snapshot
 }
 
+// Memory is what the service held at one moment.
+type Memory struct {
+	pairs    map[string]kvPair
+	revision uint64
+}
+
+// Remember returns what the service holds, for GoBack.
+func (k *KV) Remember() Memory {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return Memory{pairs: maps.Clone(k.pairs), revision: k.revision}
+}
+
+// GoBack makes the service hold what it held before, as one does that lost its
+// newest state.
+func (k *KV) GoBack(memory Memory) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pairs = maps.Clone(memory.pairs)
+	k.revision = memory.revision
+	k.deleted = make(map[string]uint64)
+	k.notify()
+}
+
 // Break makes writes take effect at any revision, as no service may, so that a
 // check which relies on compare-and-swap can be shown to fail.
 func (k *KV) Break() {
