internal/webio: a stop closes connections that are kept

Cause: found by reading: a connection whose request began before a stop was kept open after its answer, so a graceful stop waited for its idle time and then counted it as cut off. A stop could also close a connection whose request had come in but not begun. Change: the loop ends a connection between two requests once the server stops; a request counts from its first byte on. Conclusion: a stop waits for requests only.

--- a/internal/webio/conn.go
+++ b/internal/webio/conn.go
@@ -70,7 +70,7 @@
 // in time, and a connection without one may stay idle for a while.
 func (c *connection) setReadDeadline(p *processor) {
 	deadline := time.Now().Add(IdleTimeout)
-	if !p.began.IsZero() {
+	if p.inRequest() {
 		deadline = p.began.Add(ReadTimeout)
 	}
 	_ = c.SetReadDeadline(deadline)
@@ -79,7 +79,6 @@
 // watch calls gone if the caller closes the connection before stop is called.
 // It looks without taking bytes away, so that the next request stays whole.
 func (c *connection) watch(gone context.CancelFunc) (stop func()) {
-	c.setActive(true)
 	_ = c.SetReadDeadline(time.Time{})
 	done := make(chan struct{})
 	go func() {
@@ -91,7 +90,6 @@
 	return func() {
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 		<-done
-		c.setActive(false)
 	}
 }
 
@@ -162,7 +160,7 @@
 
 // received takes note of bytes that have come in.
 func (p *processor) received(n int) {
-	if p.began.IsZero() {
+	if !p.inRequest() {
 		p.began = time.Now()
 	}
 	if !p.inBody {
@@ -170,6 +168,9 @@
 	}
 }
 
+// inRequest reports whether a part of a request has come in.
+func (p *processor) inRequest() bool { return !p.began.IsZero() }
+
 // refusal returns the answer to a request that can't be taken, or nil.
 func (p *processor) refusal(err error) *refusal {
 	switch {
--- a/internal/webio/server.go
+++ b/internal/webio/server.go
@@ -174,12 +174,16 @@
 			return
 		}
 		processor.received(n)
+		// From its first byte on a request is not cut off by a stop.
+		c.setActive(true)
 		err = parser.Parse(buffer[:n])
+		c.setActive(processor.inRequest())
 		if refusal := processor.refusal(err); refusal != nil {
 			s.refuse(c, refusal)
 			return
 		}
-		if c.ended() {
+		// A server that stops keeps no connection between two requests.
+		if c.ended() || (s.isStopping() && !processor.inRequest()) {
 			return
 		}
 	}
