internal/entry: a claimed change outlives its caller

Cause: found by reading: a caller that hung up cancelled its change at the service, and a claim whose caller left while it was being written could stay without a request. Ruled out: letting all requests outlive their callers (a chat that nobody reads should free its engine). Conclusion: a van tablet that drops out and asks again with its key gets its order's outcome.

--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -31,22 +31,26 @@
 // headerReplayed marks an answer that is the outcome of an earlier request.
 const headerReplayed = "Lentilstand-Replayed"
 
-// serveClaimed answers a request that must run at most once, with a key.
-func (f *inflight) serveClaimed(ctx context.Context, key string) {
+// serveClaimed answers a request that must run at most once, with a key. Once it
+// has been sent it goes on if its caller hangs up, so that the outcome is there
+// when the caller asks again.
+func (f *inflight) serveClaimed(key string) {
 	if len(key) > maxKeyBytes {
 		f.finish(apierr.New(http.StatusBadRequest, "malformed_key", "the idempotency key is too long"))
 		return
 	}
 	request := f.exchange.Request()
 	fingerprint := claim.Fingerprint(request.Method, request.URL.RequestURI(), f.body)
-	taken, record, err := f.entry.claims.Take(ctx, f.team.Name(), key, fingerprint)
+	claiming, cancel := context.WithTimeout(context.Background(), claimBound)
+	defer cancel()
+	taken, record, err := f.entry.claims.Take(claiming, f.team.Name(), key, fingerprint)
 	switch {
 	case err == nil:
-		f.runClaimed(ctx, taken, key)
+		f.runClaimed(taken, key)
 	case errors.Is(err, claim.ErrOtherRequest):
 		f.finish(apierr.New(http.StatusUnprocessableEntity, "key_reused", "the idempotency key was used with another request"))
 	case errors.Is(err, claim.ErrTaken):
-		f.replay(ctx, key, record)
+		f.replay(key, record)
 	default:
 		f.finish(apierr.New(http.StatusServiceUnavailable, "claim_unavailable",
 			"the idempotency key can't be claimed now", apierr.WithRetryAfter(retrySoon)))
@@ -54,7 +58,9 @@
 }
 
 // runClaimed runs a request whose key this entry owns.
-func (f *inflight) runClaimed(ctx context.Context, taken *claim.Claim, key string) {
+func (f *inflight) runClaimed(taken *claim.Claim, key string) {
+	ctx, cancel := context.WithDeadline(context.Background(), f.deadline)
+	defer cancel()
 	settled := false
 	f.answer.observe(func(status int, header http.Header, body []byte) {
 		settled = true
@@ -107,7 +113,9 @@
 }
 
 // replay answers a duplicate with the first request's outcome.
-func (f *inflight) replay(ctx context.Context, key string, record claim.Record) {
+func (f *inflight) replay(key string, record claim.Record) {
+	ctx, cancel := context.WithDeadline(f.exchange.Context(), f.deadline)
+	defer cancel()
 	record, err := f.entry.claims.Await(ctx, f.team.Name(), key, record, duplicateWait)
 	if errors.Is(err, store.ErrNotFound) {
 		// The first one has provably not run and has given up its claim.
--- /dev/null
+++ b/internal/entry/claimed_test.go
@@ -0,0 +1,52 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lentilstand/lentilstand/internal/bench"
+	"github.com/lentilstand/lentilstand/internal/stand"
+)
+
+// book sends a booking with a key and gives up after timeout.
+func book(b *bench.Bench, timeout time.Duration) (bench.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return b.Call(ctx, b.Entry("entry-1").Address(), "a", http.MethodPost, "/depozit/orders", "motor",
+		http.Header{"Idempotency-Key": {"order-1"}})
+}
+
+// TestChangeOutlivesItsCaller lets a caller hang up while its change runs, and
+// wants the outcome kept for when it asks again.
+func TestChangeOutlivesItsCaller(t *testing.T) {
+	ledger := &stand.Ledger{}
+	b := startBench(t, oneEach(stand.DefaultEngineSpec(), stand.PlainSpec{Capacity: 4, Time: time.Second, Ledger: ledger}))
+	_, err := book(b, 400*time.Millisecond)
+	require.Error(t, err, "the caller hangs up")
+	answer, err := book(b, 10*time.Second)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusCreated, answer.Status, string(answer.Body))
+	require.Equal(t, "true", answer.Header.Get("Lentilstand-Replayed"))
+	require.Len(t, ledger.Executions(), 1)
+}
+
+func TestUnknownOutcomeSaysSo(t *testing.T) {
+	ledger := &stand.Ledger{}
+	b := startBench(t, oneEach(stand.DefaultEngineSpec(), stand.PlainSpec{Capacity: 4, Ledger: ledger}))
+	b.Plain("depozit-1").SetFaults(stand.PlainFaults{LoseAnswers: true})
+	first, err := book(b, 10*time.Second)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, first.Status)
+	require.Equal(t, "unknown", first.Header.Get("Lentilstand-Outcome"))
+	require.Contains(t, string(first.Body), `"handle":"/v1/outcomes/order-1"`)
+	b.Plain("depozit-1").SetFaults(stand.PlainFaults{})
+	asked, err := b.Call(context.Background(), b.Entry("entry-1").Address(), "a", http.MethodGet, "/v1/outcomes/order-1", "", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusConflict, asked.Status)
+	require.Equal(t, "unknown", asked.Header.Get("Lentilstand-Outcome"))
+	require.Len(t, ledger.Executions(), 1, "nobody runs it again")
+}
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -101,12 +101,12 @@
 	}
 	defer f.entry.teams.leave(f.team)
 	f.deadline = f.began.Add(timeout)
-	ctx, cancel := context.WithDeadline(f.exchange.Context(), f.deadline)
-	defer cancel()
 	if key := f.exchange.Request().Header.Get(headerIdempotency); key != "" && !f.repeatable() {
-		f.serveClaimed(ctx, key)
+		f.serveClaimed(key)
 		return
 	}
+	ctx, cancel := context.WithDeadline(f.exchange.Context(), f.deadline)
+	defer cancel()
 	f.finish(f.run(ctx))
 }
 
