internal/procs: addresses that nothing else can take

Cause: one of the runs under load failed with 'the fleet to be ready': the most likely cause is a port that was free when it was chosen and taken by an outgoing connection before the process listened; the logs were not shown, so it isn't proved. Ruled out: nothing yet; a fleet that doesn't get ready shows its logs from now on. Change: each test process has loopback addresses of its own, below the ports of outgoing connections. Conclusion: to be watched.

--- a/internal/procs/procs.go
+++ b/internal/procs/procs.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -132,13 +133,39 @@
 	}
 }
 
-// FreeAddress returns a loopback address whose port was free a moment ago.
+// The address numbers that FreeAddress gives out.
+const (
+	loopback     = 127
+	firstNetwork = 100
+	networks     = 100
+	subnetworks  = 250
+	hostsPerPort = 250
+	firstPort    = 7000
+	maxAddresses = 10_000
+)
+
+// given counts the addresses that this process has given out.
+var given atomic.Int64
+
+// FreeAddress returns a loopback address for a process to listen on. It is of
+// this test process alone, and no outgoing connection can take it before the
+// process listens.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	pid := os.Getpid()
+	for range maxAddresses {
+		n := int(given.Add(1))
+		address := fmt.Sprintf("%d.%d.%d.%d:%d", loopback, firstNetwork+pid%networks,
+			pid/networks%subnetworks, 1+n%hostsPerPort, firstPort+n/hostsPerPort)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		require.NoError(t, listener.Close())
+		return address
+	}
+	require.Fail(t, "no address is free")
+	return ""
 }
 
 // Fleet is a set of processes with one configuration.
@@ -293,23 +320,42 @@
 }
 
 // WaitReady waits until every entry takes requests, holds every entry as a
-// voter and can use every endpoint.
+// voter and can use every endpoint. If it waits in vain it shows the logs.
 func (f *Fleet) WaitReady() {
 	f.t.Helper()
-	f.Eventually("the fleet to be ready", func() bool {
-		for _, e := range f.Entries {
-			status, ok := f.Status(e)
-			if !ok || status.Standing != "fresh" || len(status.Voters) != len(f.Entries) || len(status.Endpoints) != len(f.Agents) {
+	ready := false
+	defer func() {
+		if !ready {
+			f.showLogs()
+		}
+	}()
+	f.Eventually("the fleet to be ready", f.isReady)
+	ready = true
+}
+
+func (f *Fleet) isReady() bool {
+	for _, e := range f.Entries {
+		status, ok := f.Status(e)
+		if !ok || status.Standing != "fresh" || len(status.Voters) != len(f.Entries) || len(status.Endpoints) != len(f.Agents) {
+			return false
+		}
+		for _, endpoint := range status.Endpoints {
+			if !endpoint.Usable {
 				return false
 			}
-			for _, endpoint := range status.Endpoints {
-				if !endpoint.Usable {
-					return false
-				}
-			}
 		}
-		return true
-	})
+	}
+	return true
+}
+
+// showLogs prints what the daemons have written.
+func (f *Fleet) showLogs() {
+	for name, e := range f.Entries {
+		f.t.Logf("%s: %s", name, e.Log())
+	}
+	for name, a := range f.Agents {
+		f.t.Logf("%s: %s", name, a.Log())
+	}
 }
 
 // Status returns an entry's state.
