internal/entry: a patch that meets a change of voters is tried again

Cause: found by reading: a patch staged at the same moment as a change of voters was rejected with the advice to submit again, though nothing spoke against it. Ruled out: a real conflict (that shows as another version in force, and still ends the submission). Change: a submission that lost the race prepares and stages anew while its time lasts. Conclusion: operators see a conflict only if the configuration has changed.

--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -239,33 +239,40 @@
 	return &Submission{Result: ResultPassed, Version: ready.next.Number()}
 }
 
-// submit brings a patch into force everywhere or rejects it.
+// submit brings a patch into force everywhere or rejects it. Where another
+// change was staged at the same time, such as one of the voters, it tries again;
+// if that change was a patch, the base isn't in force any more.
 func (a *acceptor) submit(ctx context.Context, given order) *Submission {
-	ready, ending := a.prepare(ctx, given)
-	if ending != nil {
-		return ending
+	for {
+		ready, ending := a.prepare(ctx, given)
+		if ending != nil {
+			return ending
+		}
+		err := a.bring(ctx, ready)
+		if eris.Is(err, errLostRace) && ctx.Err() == nil {
+			continue
+		}
+		return outcome(ready.next, err)
 	}
+}
+
+// bring writes a version, stages it and brings it to a decision.
+func (a *acceptor) bring(ctx context.Context, ready prepared) error {
 	if err := a.writeVersion(ctx, ready.next); err != nil {
-		return &Submission{Result: ResultRejected, Message: "nothing was changed", Findings: []string{err.Error()}}
+		return err
 	}
 	view, err := a.stage(ctx, ready.view, ready.last, ready.next, ready.view.Head().Voters())
-	if err == nil {
-		err = a.decide(ctx, view, time.Now())
+	if err != nil {
+		return err
 	}
-	return a.outcome(ctx, given, ready.next, err)
+	return a.decide(ctx, view, time.Now())
 }
 
 // outcome turns the end of an acceptance into what the operator is told.
-func (a *acceptor) outcome(ctx context.Context, given order, next *config.Version, err error) *Submission {
+func outcome(next *config.Version, err error) *Submission {
 	switch {
 	case err == nil:
 		return &Submission{Result: ResultAccepted, Version: next.Number(), Hash: next.Hash()}
-	case eris.Is(err, errLostRace):
-		// The base has changed, so looking again ends in a conflict.
-		if _, ending := a.prepare(ctx, given); ending != nil {
-			return ending
-		}
-		return &Submission{Result: ResultRejected, Findings: []string{err.Error()}, Message: "the version was given up; submit again"}
 	case eris.Is(err, errUnsettled):
 		return &Submission{
 			Result:  ResultUnknown,
@@ -275,7 +282,11 @@
 			Settle:  "lentilstand patch settle " + strconv.FormatUint(next.Number(), 10) + " " + next.Hash(),
 		}
 	default:
-		return &Submission{Result: ResultRejected, Findings: []string{strings.TrimSpace(err.Error())}}
+		return &Submission{
+			Result:   ResultRejected,
+			Message:  "the version was not put in force",
+			Findings: []string{strings.TrimSpace(err.Error())},
+		}
 	}
 }
 
