internal/entry: entries that are cut off, alone and together

Cause: cuts between entries were in the model only. Change: sessions are opened by a dialer that can be told to block addresses; tests cut one entry off from the service and the others while a version is accepted, and two of three off together. The lone entry serves nothing from the acceptance on and catches up; the pair goes on by its own majority, and the patch that can't reach it is rejected by name. Conclusion: what the model says holds in the daemons for these cuts.

--- /dev/null
+++ b/internal/entry/cut_test.go
@@ -0,0 +1,131 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lentilstand/lentilstand/internal/bench"
+	"github.com/lentilstand/lentilstand/internal/entry"
+	"github.com/lentilstand/lentilstand/internal/stand"
+	"github.com/lentilstand/lentilstand/pkg/config"
+)
+
+// threeCentres returns a bench of three data centres with an entry and an
+// engine each.
+func threeCentres() bench.Spec {
+	engine := stand.DefaultEngineSpec()
+	engine.ColdCapacity = engine.Capacity
+	spec := bench.Spec{Region: "r", Teams: []string{"a"}}
+	service := bench.Service{Name: "asistent", Kind: config.KindModel, Repeatable: true}
+	for i := 1; i <= 3; i++ {
+		dataCentre := fmt.Sprint("dc-", i)
+		spec.DataCentres = append(spec.DataCentres, dataCentre)
+		spec.Entries = append(spec.Entries, bench.Node{Name: fmt.Sprint("entry-", i), DataCentre: dataCentre})
+		service.Replicas = append(service.Replicas, bench.Replica{
+			Name: fmt.Sprint("asistent-", i), DataCentre: dataCentre, Engine: engine, Warm: true,
+		})
+	}
+	spec.Services = []bench.Service{service}
+	return spec
+}
+
+func statusOf(b *bench.Bench, name string) entry.Status {
+	return b.Entry(name).Status().(entry.Status)
+}
+
+// startThree starts the bench and waits until all entries have a vote.
+func startThree(t *testing.T) *bench.Bench {
+	t.Helper()
+	b := startBench(t, threeCentres())
+	require.Eventually(t, func() bool { return len(statusOf(b, "entry-1").Voters) == 3 }, 15*time.Second, 10*time.Millisecond)
+	return b
+}
+
+// cut cuts entries off from the key-value service and from the other entries;
+// they still reach each other and the endpoints.
+func cut(b *bench.Bench, names ...string) {
+	all := []string{"entry-1", "entry-2", "entry-3"}
+	inside := make(map[string]bool)
+	for _, name := range names {
+		inside[name] = true
+	}
+	for _, name := range all {
+		var across []string
+		for _, other := range all {
+			if inside[name] != inside[other] {
+				across = append(across, b.Entry(other).PeerAddress())
+			}
+		}
+		b.Entry(name).Dialer().Block(across...)
+	}
+	b.KV().SetFaults(stand.KVFaults{Down: true, Only: names})
+}
+
+func heal(b *bench.Bench) {
+	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+		b.Entry(name).Dialer().Block()
+	}
+	b.KV().SetFaults(stand.KVFaults{})
+}
+
+func ask(t *testing.T, b *bench.Bench, name string, n int) bench.Answer {
+	t.Helper()
+	answer, err := b.Call(context.Background(), b.Entry(name).Address(), "a", http.MethodPost, "/v1/chat/completions",
+		chatOf(fmt.Sprintf("question %d", n), 2), nil)
+	require.NoError(t, err)
+	return answer
+}
+
+// TestEntryThatIsCutOffStops accepts a version while one entry is cut off from
+// everything but the endpoints.
+func TestEntryThatIsCutOffStops(t *testing.T) {
+	b := startThree(t)
+	cut(b, "entry-3")
+	submission, err := b.Submit(context.Background(), "entry-1", 1, bench.OutPatch("r", "dc-3", true))
+	require.NoError(t, err)
+	require.Equal(t, entry.ResultAccepted, submission.Result, submission)
+	before := b.Engine("asistent-3").Counts().Admitted
+	for n := range 10 {
+		answer := ask(t, b, "entry-3", n)
+		require.Equal(t, http.StatusServiceUnavailable, answer.Status, "from the acceptance on it serves nothing")
+		require.Equal(t, "not_run", answer.Header.Get("Lentilstand-Outcome"))
+		require.Equal(t, http.StatusOK, ask(t, b, "entry-1", n).Status, "the others go on")
+	}
+	require.Equal(t, before, b.Engine("asistent-3").Counts().Admitted)
+	heal(b)
+	require.Eventually(t, func() bool {
+		status := statusOf(b, "entry-3")
+		return status.Version == submission.Version && status.Standing == "fresh"
+	}, 20*time.Second, 50*time.Millisecond, "it catches up")
+}
+
+// TestMajorityWithoutTheServiceGoesOn cuts two of three entries off together,
+// as with their data centres or region: they go on, and nothing is accepted
+// without them.
+func TestMajorityWithoutTheServiceGoesOn(t *testing.T) {
+	b := startThree(t)
+	cut(b, "entry-2", "entry-3")
+	time.Sleep(3 * time.Second)
+	for n, name := range []string{"entry-2", "entry-3"} {
+		require.Equal(t, "quorum", statusOf(b, name).Standing)
+		require.Equal(t, http.StatusOK, ask(t, b, name, n).Status)
+	}
+	submission, err := b.Submit(context.Background(), "entry-1", 1, bench.OutPatch("r", "dc-3", true))
+	require.NoError(t, err)
+	require.Equal(t, entry.ResultRejected, submission.Result, submission)
+	require.Contains(t, fmt.Sprint(submission.Findings), "no word from [entry-2/")
+	heal(b)
+	require.Eventually(t, func() bool {
+		for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+			if status := statusOf(b, name); status.Version != 1 || status.Pending != 0 || status.Standing != "fresh" {
+				return false
+			}
+		}
+		return true
+	}, 20*time.Second, 50*time.Millisecond, "a rejected version is nowhere in force")
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,6 +36,7 @@
 	meter       *meter.Meter
 	incarnation string
 	kv          *kvhttp.Client
+	dialer      link.Dialer
 	follower    *follower
 	registrar   *registrar
 	acceptor    *acceptor
@@ -80,8 +81,8 @@
 	e.records = audit.NewWriter(e.kv, voter)
 	e.crashes = newCrashes(e.kv, logger)
 	e.parking = newParking(settings.StreamBudget(), logger)
-	e.follower = newFollower(voter, e.kv, e.crashes, logger)
-	e.fleet = newFleet(settings.Name(), logger)
+	e.follower = newFollower(voter, e.kv, e.crashes, &e.dialer, logger)
+	e.fleet = newFleet(settings.Name(), &e.dialer, logger)
 	e.hosts = newHostWatch(settings.HostList())
 	e.acceptor = newAcceptor(e.follower, e.kv, settings.Name(), logger)
 	e.registrar = newRegistrar(e, voter)
@@ -269,6 +270,9 @@
 	return status
 }
 
+// Dialer returns what the entry opens sessions with, to cut it off.
+func (e *Entry) Dialer() *link.Dialer { return &e.dialer }
+
 // Address returns the address that the entry listens on for callers.
 func (e *Entry) Address() string { return e.callers.Address() }
 
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -33,14 +33,15 @@
 // fleet keeps a session to the agent of each endpoint in the configuration.
 type fleet struct {
 	name   string
+	dialer *link.Dialer
 	logger *zap.Logger
 
 	mu    sync.Mutex
 	links map[string]*agentLink
 }
 
-func newFleet(name string, logger *zap.Logger) *fleet {
-	return &fleet{name: name, logger: logger, links: make(map[string]*agentLink)}
+func newFleet(name string, dialer *link.Dialer, logger *zap.Logger) *fleet {
+	return &fleet{name: name, dialer: dialer, logger: logger, links: make(map[string]*agentLink)}
 }
 
 // run opens and closes sessions as the configuration changes, until ctx ends.
@@ -172,7 +173,7 @@
 
 // serve opens a session and follows the agent's reports until it ends.
 func (l *agentLink) serve(ctx context.Context) error {
-	session, err := link.Dial(ctx, l.endpoint.Address())
+	session, err := l.fleet.dialer.Dial(ctx, l.endpoint.Address())
 	if err != nil {
 		return err
 	}
@@ -331,7 +332,7 @@
 func (l *agentLink) revoke(incarnation string, credit uint64) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), revokeBound)
 	defer cancel()
-	session, err := link.Dial(ctx, l.endpoint.Address())
+	session, err := l.fleet.dialer.Dial(ctx, l.endpoint.Address())
 	if err != nil {
 		return false
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/internal/link"
 	"github.com/lentilstand/lentilstand/pkg/chain"
 	"github.com/lentilstand/lentilstand/pkg/config"
 	"github.com/lentilstand/lentilstand/pkg/crash"
@@ -39,6 +40,7 @@
 // service, and from peers.
 type follower struct {
 	crashes *crashes
+	dialer  *link.Dialer
 	voter   string
 	kv      configStore
 	logger  *zap.Logger
@@ -58,8 +60,9 @@
 	changed   chan struct{}
 }
 
-func newFollower(voter string, kv configStore, found *crashes, logger *zap.Logger) *follower {
+func newFollower(voter string, kv configStore, found *crashes, dialer *link.Dialer, logger *zap.Logger) *follower {
 	return &follower{
+		dialer:  dialer,
 		crashes: found,
 		voter:   voter,
 		kv:      kv,
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -45,8 +46,68 @@
 	session *yamux.Session
 }
 
+// ErrBlocked says that a Dialer is told not to reach an address.
+var ErrBlocked = eris.New("the address is blocked")
+
+// Dialer opens sessions. The zero value is ready to use. It can be told to reach
+// some addresses no more, as a network that is cut does.
+type Dialer struct {
+	mu      sync.Mutex
+	blocked map[string]bool
+	open    map[*Session]string
+}
+
+// Block closes the sessions to the addresses and opens no more of them. It
+// replaces what was blocked before.
+func (d *Dialer) Block(addresses ...string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.blocked = make(map[string]bool)
+	for _, address := range addresses {
+		d.blocked[address] = true
+	}
+	for session, address := range d.open {
+		if d.blocked[address] {
+			session.Close()
+		}
+	}
+}
+
+func (d *Dialer) isBlocked(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.blocked[address]
+}
+
+// track keeps a session for Block and forgets those that have ended.
+func (d *Dialer) track(session *Session, address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.open == nil {
+		d.open = make(map[*Session]string)
+	}
+	for other := range d.open {
+		if other.session.IsClosed() {
+			delete(d.open, other)
+		}
+	}
+	d.open[session] = address
+}
+
 // Dial opens a session to address, an IP address and port.
-func Dial(ctx context.Context, address string) (*Session, error) {
+func (d *Dialer) Dial(ctx context.Context, address string) (*Session, error) {
+	if d.isBlocked(address) {
+		return nil, ErrBlocked
+	}
+	session, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	d.track(session, address)
+	return session, nil
+}
+
+func dial(ctx context.Context, address string) (*Session, error) {
 	dialer := net.Dialer{Timeout: DialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -80,6 +80,7 @@
 type EngineCounts struct {
 	Falls     int `json:"falls"`
 	Admitted  int `json:"admitted"`
+	CacheHits int `json:"cache_hits"`
 	Completed int `json:"completed"`
 	Cancelled int `json:"cancelled"`
 	Peak      int `json:"peak"`
@@ -353,6 +354,7 @@
 	at := slices.Index(e.cache, prefix)
 	if at >= 0 {
 		e.cache = append(slices.Delete(e.cache, at, at+1), prefix)
+		e.counts.CacheHits++
 		return true
 	}
 	e.cache = append(e.cache, prefix)
