internal/hints: cache events lead prompts to their cache

Ruled out: the prefixes themselves in each report (1 KB, half of a node's budget a second). Change: agents follow their engine's events and report a Bloom filter of 64 bytes; route.Decide puts an endpoint first that seems to hold the prompt and has room; audits replay it. At most 32 B/s a pair. Conclusion: a wrong hint costs a detour and nothing else.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,11 +18,13 @@
 
 	"github.com/lentilstand/lentilstand/internal/admin"
 	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/internal/hints"
 	"github.com/lentilstand/lentilstand/internal/link"
 	"github.com/lentilstand/lentilstand/internal/meter"
 	"github.com/lentilstand/lentilstand/internal/prefs"
 	"github.com/lentilstand/lentilstand/internal/webio"
 	"github.com/lentilstand/lentilstand/pkg/admit"
+	"github.com/lentilstand/lentilstand/pkg/config"
 )
 
 // Bounds of the connections to the endpoint.
@@ -55,6 +57,7 @@
 	leaving bool
 	epoch   string
 	model   string
+	hints   hints.Set
 	changed chan struct{}
 }
 
@@ -130,6 +133,10 @@
 	a.cancel = cancel
 	a.wait.Add(1)
 	go a.watchEndpoint(ctx)
+	if a.settings.Kind() == config.KindModel {
+		a.wait.Add(1)
+		go a.followCache(ctx)
+	}
 	event.ProcessStarted.Log(a.logger,
 		zap.String("listen", server.Address()),
 		zap.String("admin", adminServer.Address()),
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -170,6 +170,7 @@
 		Leaving:     a.leaving,
 		Epoch:       a.epoch,
 		Version:     a.version.Load(),
+		Hints:       a.hints,
 	}}}
 }
 
--- a/internal/entry/cache_test.go
+++ b/internal/entry/cache_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -52,3 +53,31 @@
 	require.GreaterOrEqual(t, ours, 0.7, "all rounds but the first find their cache")
 	require.Greater(t, ours, baseline)
 }
+
+// TestCacheEventsLeadToTheCache fills one engine's cache past the entries, and
+// wants the same prompts through an entry to go there, as the engine's events
+// say, which come late and with gaps.
+func TestCacheEventsLeadToTheCache(t *testing.T) {
+	const prompts = 20
+	engine := stand.DefaultEngineSpec()
+	engine.ColdCapacity = engine.Capacity
+	b := startBench(t, twoEntries(engine))
+	send := func(address string, n int) {
+		body := chatOf(fmt.Sprintf("conversation %d is about something of its own", n), 1)
+		answer, err := b.Call(context.Background(), address, "a", http.MethodPost, "/v1/chat/completions", body, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.Status)
+	}
+	for n := range prompts {
+		send(b.EndpointAddress("asistent-2"), n)
+	}
+	// Events are published late, and agents ask for them every two seconds.
+	time.Sleep(3 * time.Second)
+	before := b.Engine("asistent-2").Counts().CacheHits
+	for n := range prompts {
+		send(b.Entry("entry-1").Address(), n)
+	}
+	found := b.Engine("asistent-2").Counts().CacheHits - before
+	t.Logf("%d of %d prompts found their cache", found, prompts)
+	require.GreaterOrEqual(t, found, prompts*3/4)
+}
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/internal/hints"
 	"github.com/lentilstand/lentilstand/internal/link"
 	"github.com/lentilstand/lentilstand/internal/wirepb"
 	"github.com/lentilstand/lentilstand/pkg/config"
@@ -98,14 +99,14 @@
 
 // loads returns what is known of the load of a service's endpoints. Those whose
 // host is leaving count as leaving even if their agents don't say so yet.
-func (f *fleet) loads(endpoints []config.Endpoint, hosts *hostWatch) map[string]route.Load {
+func (f *fleet) loads(endpoints []config.Endpoint, hosts *hostWatch, prefix uint64) map[string]route.Load {
 	loads := make(map[string]route.Load, len(endpoints))
 	for _, endpoint := range endpoints {
 		l := f.link(endpoint.Name())
 		if l == nil {
 			continue
 		}
-		load := l.load()
+		load := l.loadFor(prefix)
 		if hosts.isLeaving(endpoint.Host()) {
 			load = route.NewLoad(load.Capacity(), load.Busy(), route.Leaving())
 		}
@@ -280,7 +281,11 @@
 
 // load returns the endpoint's load by its last report and what the entry has
 // sent there since.
-func (l *agentLink) load() route.Load {
+func (l *agentLink) load() route.Load { return l.loadFor(0) }
+
+// loadFor returns the endpoint's load for a request whose prompt has the given
+// prefix, zero if it has none.
+func (l *agentLink) loadFor(prefix uint64) route.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	report := l.report
@@ -294,6 +299,9 @@
 	if report.GetLeaving() {
 		options = append(options, route.Leaving())
 	}
+	if prefix != 0 && hints.Set(report.GetHints()).MayHold(prefix) {
+		options = append(options, route.Cached())
+	}
 	return route.NewLoad(int(report.GetCapacity()), int(report.GetBusy())+l.pending, options...)
 }
 
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -38,6 +38,7 @@
 	service   config.Service
 	id        string
 	session   string
+	prefix    uint64
 	asked     string
 	streaming bool
 	body      []byte
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -95,7 +95,7 @@
 	}
 	rules := f.entry.follower.currentRules()
 	usable := rules.Usable(f.service.Name())
-	loads := f.entry.fleet.loads(usable, f.entry.hosts)
+	loads := f.entry.fleet.loads(usable, f.entry.hosts, f.prefix)
 	request := route.NewRequest(f.service.Name(), f.entry.settings.DataCentre(),
 		route.WithSession(f.session), route.Without(f.log.Failed()...))
 	drawn := rand.Uint64()
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -15,6 +15,7 @@
 
 	"github.com/lentilstand/lentilstand/internal/admin"
 	"github.com/lentilstand/lentilstand/internal/apierr"
+	"github.com/lentilstand/lentilstand/internal/hints"
 	"github.com/lentilstand/lentilstand/internal/webio"
 	"github.com/lentilstand/lentilstand/pkg/config"
 	"github.com/lentilstand/lentilstand/pkg/route"
@@ -172,10 +173,28 @@
 	Model    string `json:"model"`
 	Stream   bool   `json:"stream"`
 	Messages []struct {
+		Role    string          `json:"role"`
 		Content json.RawMessage `json:"content"`
 	} `json:"messages"`
 }
 
+// prompt returns the beginning of the prompt as engines see it, empty if a
+// message isn't plain text.
+func (c wireChat) prompt() string {
+	var prompt strings.Builder
+	for _, message := range c.Messages {
+		var content string
+		if json.Unmarshal(message.Content, &content) != nil {
+			return ""
+		}
+		prompt.WriteString(message.Role + ": " + content + "\n")
+		if prompt.Len() >= hints.PrefixBytes {
+			break
+		}
+	}
+	return prompt.String()
+}
+
 // prefixBytes is how much of a first message makes requests share a cache.
 const prefixBytes = 256
 
@@ -215,6 +234,9 @@
 	f.streaming = chat.Stream
 	f.body = body
 	f.asked = chat.Model
+	if prompt := chat.prompt(); prompt != "" {
+		f.prefix = hints.Prefix(prompt)
+	}
 	if f.session == "" {
 		f.session = chat.prefix()
 	}
--- a/pkg/audit/record.go
+++ b/pkg/audit/record.go
@@ -169,6 +169,7 @@
 		Capacity: uint32(load.Capacity()),
 		Busy:     uint32(load.Busy()),
 		State:    uint32(state),
+		Cached:   load.IsCached(),
 	}
 }
 
@@ -212,5 +213,8 @@
 	case loadLeaving:
 		options = append(options, route.Leaving())
 	}
+	if wire.GetCached() {
+		options = append(options, route.Cached())
+	}
 	return route.NewLoad(int(wire.GetCapacity()), int(wire.GetBusy()), options...)
 }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -28,6 +28,7 @@
 	busy     int
 	ready    bool
 	leaving  bool
+	cached   bool
 }
 
 // LoadOption sets a part of a Load.
@@ -43,6 +44,11 @@
 	return func(l *Load) { l.leaving = true }
 }
 
+// Cached marks an endpoint whose cache seems to hold the request's prompt.
+func Cached() LoadOption {
+	return func(l *Load) { l.cached = true }
+}
+
 // NewLoad returns the load of an endpoint that is ready, may run capacity
 // requests at a time and has busy of them taken.
 func NewLoad(capacity, busy int, options ...LoadOption) Load {
@@ -62,6 +68,10 @@
 // Usable reports whether the endpoint takes new requests.
 func (l Load) Usable() bool { return l.ready && !l.leaving }
 
+// IsCached reports whether the endpoint's cache seems to hold the request's
+// prompt.
+func (l Load) IsCached() bool { return l.cached }
+
 // IsLeaving reports whether the endpoint finishes and takes no new requests.
 func (l Load) IsLeaving() bool { return l.leaving }
 
@@ -106,8 +116,12 @@
 const (
 	// ReasonDrawn says that the order was drawn by free capacity.
 	ReasonDrawn Reason = "drawn"
-	// ReasonSession says that the first endpoint holds the session's cache.
+	// ReasonSession says that the first endpoint is the one that the session
+	// hashes to.
 	ReasonSession Reason = "session"
+	// ReasonCached says that the first endpoint's cache seems to hold the
+	// prompt.
+	ReasonCached Reason = "cached"
 	// ReasonNoEndpoint says that the rules leave no endpoint.
 	ReasonNoEndpoint Reason = "no_endpoint"
 	// ReasonNoneReady says that no endpoint that the rules leave is ready.
@@ -152,7 +166,12 @@
 	}
 	ordered := draw(rules.Config(), ready, loads, request, seed)
 	reason := ReasonDrawn
-	if moveSessionFirst(ordered, loads, request) {
+	cached := func(e config.Endpoint) bool { return loads[e.Name()].IsCached() }
+	all := func(config.Endpoint) bool { return true }
+	switch {
+	case moveSessionFirst(ordered, loads, request, cached):
+		reason = ReasonCached
+	case moveSessionFirst(ordered, loads, request, all):
 		reason = ReasonSession
 	}
 	return Decision{endpoints: ordered, reason: reason}
@@ -198,20 +217,26 @@
 	return otherRegionWeight
 }
 
-// moveSessionFirst puts the endpoint that a session hashes to first, if it has
-// room. Rendezvous hashing keeps a session in place while other endpoints come
-// and go.
-func moveSessionFirst(ordered []config.Endpoint, loads map[string]Load, request Request) bool {
+// moveSessionFirst puts the endpoint that a session hashes to first, among those
+// that count, if it has room. Rendezvous hashing keeps a session in place while
+// other endpoints come and go.
+func moveSessionFirst(ordered []config.Endpoint, loads map[string]Load, request Request, counts func(config.Endpoint) bool) bool {
 	if request.session == "" {
 		return false
 	}
 	best, bestHash := -1, uint64(0)
 	for i, endpoint := range ordered {
+		if !counts(endpoint) {
+			continue
+		}
 		hash := xxhash.Sum64String(request.session + "\x00" + endpoint.Name())
 		if best < 0 || hash > bestHash {
 			best, bestHash = i, hash
 		}
 	}
+	if best < 0 {
+		return false
+	}
 	name := ordered[best].Name()
 	load := loads[name]
 	room := float64(load.Free()) >= math.Max(1, sessionHeadroom*float64(load.Capacity()))
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -134,6 +134,26 @@
 	}
 }
 
+func TestCachedPromptsGoToTheirCache(t *testing.T) {
+	rules := route.NewRules(version(t), nil)
+	session := route.WithSession("s")
+	loads := map[string]route.Load{"e1": route.NewLoad(10, 5), "e2": route.NewLoad(10, 5), "e3": route.NewLoad(10, 5)}
+	home := names(route.Decide(rules, loads, route.NewRequest("lm", "a", session), 1))[0]
+	for _, name := range []string{"e1", "e2", "e3"} {
+		if name == home {
+			continue
+		}
+		hinted := map[string]route.Load{"e1": loads["e1"], "e2": loads["e2"], "e3": loads["e3"]}
+		hinted[name] = route.NewLoad(10, 5, route.Cached())
+		decision := route.Decide(rules, hinted, route.NewRequest("lm", "a", session), 1)
+		require.Equal(t, name, names(decision)[0])
+		require.Equal(t, route.ReasonCached, decision.Reason())
+		hinted[name] = route.NewLoad(10, 10, route.Cached())
+		decision = route.Decide(rules, hinted, route.NewRequest("lm", "a", session), 1)
+		require.Equal(t, home, names(decision)[0], "a full endpoint's cache is of no use")
+	}
+}
+
 func TestFailedEndpointsComeLast(t *testing.T) {
 	rules := route.NewRules(version(t), nil)
 	loads := map[string]route.Load{"e1": route.NewLoad(10, 0), "e2": route.NewLoad(10, 9), "e3": route.NewLoad(10, 9)}
