--- a/pkg/group/group_test.go
+++ b/pkg/group/group_test.go
@@ -1,6 +1,7 @@
 package group_test
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -132,7 +133,7 @@
 	}
 	started, err := rank.Start(release)
 	expertMap := release.ExpertMap()
-	if held := rank.Held(); err == group.ErrNoMap && w.mutant == ownMap && len(held) > 0 {
+	if held := rank.Held(); errors.Is(err, group.ErrNoMap) && w.mutant == ownMap && len(held) > 0 {
 		expertMap = held[0]
 		started = true
 	}
