pkg/audit: callers' bytes that are no text

Cause: found by reading: protobuf refuses strings that are no UTF-8, which HTTP allows in header values and, escaped, in paths. A header of Latin-1 made an entry refuse the request as lost; a path or session of such bytes made the record's encoding fail, and with batches that are packed at once, end the entry. Ruled out: refusing such requests, which are valid HTTP. Change: header values travel as bytes; records replace what is no text, and the session does so before the decision, so that an audit decides by the same. Full batches are packed when they are full, so that records held during an outage take about 3 MB instead of 80. Conclusion: no bytes of a caller reach a string field of protobuf unchecked.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -114,7 +114,7 @@
 	// A body that can't be rewound keeps the transport from sending twice.
 	request.GetBody = nil
 	for _, field := range attempt.GetHeaders() {
-		request.Header.Add(field.GetName(), field.GetValue())
+		request.Header.Add(field.GetName(), string(field.GetValue()))
 	}
 	request.Header.Set(headerRequest, attempt.GetRequest())
 	request.Header.Set(headerPriority, strconv.Itoa(int(attempt.GetPriority())))
@@ -162,7 +162,7 @@
 	}
 	for name, values := range response.Header {
 		for _, value := range values {
-			head.Headers = append(head.Headers, &wirepb.Field{Name: name, Value: value})
+			head.Headers = append(head.Headers, &wirepb.Field{Name: name, Value: []byte(value)})
 		}
 	}
 	return &wirepb.Frame{Body: &wirepb.Frame_Head{Head: head}}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -141,7 +141,7 @@
 		Priority:  uint32(f.team.Priority()),
 	}
 	if t.base > 0 {
-		attempt.Headers = append(attempt.Headers, &wirepb.Field{Name: headerResume, Value: strconv.FormatUint(t.base, 10)})
+		attempt.Headers = append(attempt.Headers, &wirepb.Field{Name: headerResume, Value: strconv.AppendUint(nil, t.base, 10)})
 	}
 	return &wirepb.Frame{Body: &wirepb.Frame_Attempt{Attempt: attempt}}
 }
@@ -153,7 +153,7 @@
 			continue
 		}
 		for _, value := range values {
-			fields = append(fields, &wirepb.Field{Name: name, Value: value})
+			fields = append(fields, &wirepb.Field{Name: name, Value: []byte(value)})
 		}
 	}
 	return fields
@@ -216,7 +216,7 @@
 	for _, field := range fields {
 		name := http.CanonicalHeaderKey(field.GetName())
 		if !hopHeaders[name] {
-			header.Add(name, field.GetValue())
+			header.Add(name, string(field.GetValue()))
 		}
 	}
 	return header
--- a/internal/entry/badinput_test.go
+++ b/internal/entry/badinput_test.go
@@ -236,3 +236,23 @@
 		})
 	}
 }
+
+// TestBytesThatAreNoText sends header fields and paths that are no UTF-8, which
+// HTTP allows.
+func TestBytesThatAreNoText(t *testing.T) {
+	spec, logs := observedSpec()
+	b := startBench(t, spec)
+	header := http.Header{"X-Note": {"caf\xe9"}, "X-Session-Id": {"\xff"}, "Idempotency-Key": {"\xfe"}}
+	answer, err := b.Call(context.Background(), b.Entry("entry-1").Address(), "a", http.MethodPost, "/depozit/%ff", "x", header)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusCreated, answer.Status, string(answer.Body))
+	answer, err = b.Call(context.Background(), b.Entry("entry-1").Address(), "a", http.MethodPost, "/v1/chat/completions",
+		`{"model": "asistent", "messages": [{"role": "user", "content": "x"}]}`, http.Header{"X-Session-Id": {"\xff"}})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.Status, string(answer.Body))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	require.Zero(t, b.Entry("entry-1").Stop(ctx), "the records are written")
+	b.Forget("entry-1")
+	require.Zero(t, logs.FilterField(zap.Int("event", event.RecordsLost.Number())).Len())
+}
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -58,7 +59,8 @@
 		team:     team,
 		service:  service,
 		id:       id,
-		session:  exchange.Request().Header.Get(headerSession),
+		// Records hold text only, and an audit must decide by the same session.
+		session:  strings.ToValidUTF8(exchange.Request().Header.Get(headerSession), "?"),
 		asked:    exchange.Request().URL.Path,
 		began:    time.Now(),
 		answer:   newAnswer(exchange, id),
--- a/pkg/audit/audit_test.go
+++ b/pkg/audit/audit_test.go
@@ -107,8 +107,7 @@
 		} else {
 			batch.Previous = previous
 		}
-		packed, err := pack(batch)
-		require.NoError(t, err)
+		packed := pack(batch)
 		_, err = s.kv.Put(pair.Key(), packed, pair.Revision(), 0)
 		require.NoError(t, err)
 		if !resealed {
@@ -195,7 +194,7 @@
 	s := recorded(t)
 	w := NewWriter(s, "entry-2/y")
 	require.NoError(t, w.Open(ctx))
-	for range maxHeld + 5 {
+	for range (maxSealed+1)*batchRecords + 5 {
 		w.Add(Record{})
 	}
 	require.NoError(t, w.Close(ctx))
--- a/pkg/audit/record.go
+++ b/pkg/audit/record.go
@@ -1,6 +1,7 @@
 package audit
 
 import (
+	"strings"
 	"time"
 
 	"github.com/lentilstand/lentilstand/internal/wirepb"
@@ -125,15 +126,18 @@
 	loadLeaving
 )
 
+// unreadable stands for bytes of a caller's that are no text.
+const unreadable = "\uFFFD"
+
 func toWire(r Record) *wirepb.AuditRecord {
 	wire := &wirepb.AuditRecord{
 		Request:    r.request,
 		AtMs:       r.at.UnixMilli(),
 		Team:       r.team,
 		Service:    r.service,
-		Asked:      r.asked,
+		Asked:      strings.ToValidUTF8(r.asked, unreadable),
 		DataCentre: r.dataCentre,
-		Session:    r.session,
+		Session:    strings.ToValidUTF8(r.session, unreadable),
 		Outcome:    string(r.outcome),
 		Code:       r.code,
 		FirstMs:    uint32(r.first.Milliseconds()),
--- a/pkg/audit/size_test.go
+++ b/pkg/audit/size_test.go
@@ -29,8 +29,8 @@
 		record := NewRecord(uuid.NewString(), time.Now(), "team-1234", "model-7", "model-7", "dc-1", "1k2j3h4g5f6d")
 		w.Add(record.Ended([]Attempt{attempt}, retry.OutcomeRun, ""))
 	}
-	packed, err := pack(w.take(false))
-	require.NoError(t, err)
+	w.seal(false)
+	packed := w.sealed[0].packed
 	t.Logf("%d bytes a record", len(packed)/records)
 	require.Less(t, len(packed), 100_000)
 }
--- a/pkg/audit/writer.go
+++ b/pkg/audit/writer.go
@@ -21,11 +21,11 @@
 const (
 	// Prefix is the beginning of the keys of all batches.
 	Prefix = "audit/"
-	// maxHeld is how many records a writer holds while the service is away;
-	// what comes then is counted as dropped.
-	maxHeld = 20_000
-	// maxBatch is how many records one batch holds.
-	maxBatch = 4_000
+	// batchRecords is how many records one batch holds.
+	batchRecords = 1000
+	// maxSealed is how many packed batches a writer holds while the service is
+	// away; records that come then are counted as dropped.
+	maxSealed = 20
 )
 
 // Store is what a Writer needs of the key-value service.
@@ -40,21 +40,28 @@
 	return fmt.Sprintf("%s%s/%010d", Prefix, strings.ReplaceAll(entry, "/", "."), sequence)
 }
 
-// Writer collects the records of one run of an entry. Use NewWriter. It is safe
-// for concurrent use.
+// Writer collects the records of one run of an entry. Full batches are packed at
+// once, so that little is held while the service is away. Use NewWriter. It is
+// safe for concurrent use.
 type Writer struct {
 	store Store
 	entry string
 	now   func() time.Time
 
-	mu      sync.Mutex
-	held    []Record
-	dropped uint64
+	writing sync.Mutex
 
-	writing  sync.Mutex
+	mu       sync.Mutex
+	held     []Record
+	dropped  uint64
+	sealed   []sealedBatch
 	sequence uint64
 	previous []byte
-	unsent   *wirepb.AuditBatch
+}
+
+// sealedBatch is a packed batch that waits to be written.
+type sealedBatch struct {
+	key    string
+	packed []byte
 }
 
 // NewWriter returns a writer of the records of a run of an entry, which is
@@ -68,9 +75,12 @@
 func (w *Writer) Add(record Record) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.held) >= maxHeld {
-		w.dropped++
-		return
+	if len(w.held) >= batchRecords {
+		if len(w.sealed) >= maxSealed {
+			w.dropped++
+			return
+		}
+		w.seal(false)
 	}
 	w.held = append(w.held, record)
 }
@@ -79,47 +89,40 @@
 func (w *Writer) Held() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.held)
+	return len(w.held) + len(w.sealed)*batchRecords
 }
 
 // Open writes the first batch, which is empty. The entry must not serve before
 // it has succeeded.
 func (w *Writer) Open(ctx context.Context) error {
-	w.writing.Lock()
-	defer w.writing.Unlock()
-	if w.sequence > 0 {
-		return nil
+	w.mu.Lock()
+	if w.sequence == 0 {
+		w.seal(false)
 	}
-	return w.write(ctx, false)
+	w.mu.Unlock()
+	return w.writeSealed(ctx)
 }
 
 // Flush writes what is held, if anything.
 func (w *Writer) Flush(ctx context.Context) error {
-	w.writing.Lock()
-	defer w.writing.Unlock()
-	for w.unsent != nil || w.Held() > 0 {
-		if err := w.write(ctx, false); err != nil {
-			return err
-		}
+	w.mu.Lock()
+	if len(w.held) > 0 {
+		w.seal(false)
 	}
-	return nil
+	w.mu.Unlock()
+	return w.writeSealed(ctx)
 }
 
 // Close writes what is held and says that no more comes.
 func (w *Writer) Close(ctx context.Context) error {
-	if err := w.Flush(ctx); err != nil {
-		return err
-	}
-	w.writing.Lock()
-	defer w.writing.Unlock()
-	return w.write(ctx, true)
+	w.mu.Lock()
+	w.seal(true)
+	w.mu.Unlock()
+	return w.writeSealed(ctx)
 }
 
-// take makes the next batch of what is held.
-func (w *Writer) take(last bool) *wirepb.AuditBatch {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	count := min(maxBatch, len(w.held))
+// seal packs what is held into the next batch. The caller holds the lock.
+func (w *Writer) seal(last bool) {
 	batch := &wirepb.AuditBatch{
 		Entry:     w.entry,
 		Sequence:  w.sequence,
@@ -128,36 +131,47 @@
 		Dropped:   w.dropped,
 		Last:      last,
 	}
-	for _, record := range w.held[:count] {
+	for _, record := range w.held {
 		batch.Records = append(batch.Records, toWire(record))
 	}
-	w.held = append([]Record(nil), w.held[count:]...)
+	packed := pack(batch)
+	w.sealed = append(w.sealed, sealedBatch{key: batchKey(w.entry, w.sequence), packed: packed})
+	w.previous = sumOf(packed)
+	w.sequence++
+	w.held = nil
 	w.dropped = 0
-	return batch
 }
 
-// write writes the next batch. After an error the same batch is written again,
-// so an answer that was lost makes no duplicate.
-func (w *Writer) write(ctx context.Context, last bool) error {
-	if w.unsent == nil {
-		w.unsent = w.take(last)
-	}
-	packed, err := pack(w.unsent)
-	if err != nil {
-		return err
-	}
-	key := batchKey(w.entry, w.sequence)
-	_, err = w.store.Put(ctx, key, packed, 0, 0)
-	if errors.Is(err, store.ErrConflict) {
-		err = w.isWritten(ctx, key, packed)
+// writeSealed writes the sealed batches in order. After an error the same
+// batches are written again, so an answer that was lost makes no duplicate.
+func (w *Writer) writeSealed(ctx context.Context) error {
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	for {
+		first, ok := w.firstSealed()
+		if !ok {
+			return nil
+		}
+		_, err := w.store.Put(ctx, first.key, first.packed, 0, 0)
+		if errors.Is(err, store.ErrConflict) {
+			err = w.isWritten(ctx, first.key, first.packed)
+		}
+		if err != nil {
+			return err
+		}
+		w.mu.Lock()
+		w.sealed = w.sealed[1:]
+		w.mu.Unlock()
 	}
-	if err != nil {
-		return err
+}
+
+func (w *Writer) firstSealed() (sealedBatch, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.sealed) == 0 {
+		return sealedBatch{}, false
 	}
-	w.previous = sumOf(packed)
-	w.sequence++
-	w.unsent = nil
-	return nil
+	return w.sealed[0], true
 }
 
 // sumOf returns the hash by which the next batch names this one.
@@ -184,12 +198,13 @@
 	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(256<<20))
 )
 
-func pack(batch *wirepb.AuditBatch) ([]byte, error) {
+// pack encodes and compresses a batch, all of whose fields can be encoded.
+func pack(batch *wirepb.AuditBatch) []byte {
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(batch)
 	if err != nil {
-		return nil, eris.Wrap(err, "can't encode a batch")
+		panic("audit: a batch can't be encoded: " + err.Error())
 	}
-	return encoder.EncodeAll(encoded, nil), nil
+	return encoder.EncodeAll(encoded, nil)
 }
 
 func unpack(packed []byte) (*wirepb.AuditBatch, error) {
