internal/wirepb: paths travel as bytes

Ruled out: escaping the query, which would change it for the service. Change: the path is a bytes field. Conclusion: what a caller may send in HTTP passes through.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -134,7 +134,7 @@
 		Attempt:   t.number,
 		Credit:    t.grant.credit,
 		Method:    request.Method,
-		Path:      request.URL.RequestURI(),
+		Path:      []byte(request.URL.RequestURI()),
 		Headers:   requestFields(request.Header),
 		Body:      f.body,
 		TimeoutMs: uint32(max(1, time.Until(f.deadline).Milliseconds())),
--- a/internal/entry/badinput_test.go
+++ b/internal/entry/badinput_test.go
@@ -243,7 +243,7 @@
 	spec, logs := observedSpec()
 	b := startBench(t, spec)
 	header := http.Header{"X-Note": {"caf\xe9"}, "X-Session-Id": {"\xff"}, "Idempotency-Key": {"\xfe"}}
-	answer, err := b.Call(context.Background(), b.Entry("entry-1").Address(), "a", http.MethodPost, "/depozit/%ff", "x", header)
+	answer, err := b.Call(context.Background(), b.Entry("entry-1").Address(), "a", http.MethodPost, "/depozit/%ff?q=\xff", "x", header)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusCreated, answer.Status, string(answer.Body))
 	answer, err = b.Call(context.Background(), b.Entry("entry-1").Address(), "a", http.MethodPost, "/v1/chat/completions",
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -60,10 +60,10 @@
 		service:  service,
 		id:       id,
 		// Records hold text only, and an audit must decide by the same session.
-		session:  strings.ToValidUTF8(exchange.Request().Header.Get(headerSession), "?"),
-		asked:    exchange.Request().URL.Path,
-		began:    time.Now(),
-		answer:   newAnswer(exchange, id),
+		session: strings.ToValidUTF8(exchange.Request().Header.Get(headerSession), "?"),
+		asked:   exchange.Request().URL.Path,
+		began:   time.Now(),
+		answer:  newAnswer(exchange, id),
 	}
 }
 
