internal/agent: the transport repeats no change

Cause: found by reading: net/http sends a request again by itself if its connection breaks before an answer, it has no body and a field Idempotency-Key or X-Idempotency-Key. A change without a body whose answer was lost on a used connection ran twice. Ruled out: bodies (GetBody was cleared already); closing connections after each request, which costs a dial a request; a body of unknown length, which would make the change chunked. Change: the two names are sent in small letters, which HTTP holds for the same.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -114,13 +115,27 @@
 	// A body that can't be rewound keeps the transport from sending twice.
 	request.GetBody = nil
 	for _, field := range attempt.GetHeaders() {
-		request.Header.Add(field.GetName(), string(field.GetValue()))
+		name := fieldName(field.GetName())
+		request.Header[name] = append(request.Header[name], string(field.GetValue()))
 	}
 	request.Header.Set(headerRequest, attempt.GetRequest())
 	request.Header.Set(headerPriority, strconv.Itoa(int(attempt.GetPriority())))
 	return a.client.Do(request)
 }
 
+// fieldName returns the name under which a header field is sent. The transport
+// sends a request without a body again by itself if it finds a field that names
+// an idempotency key; written in small letters, which mean the same, it doesn't
+// find it.
+func fieldName(name string) string {
+	switch name {
+	case "Idempotency-Key", "X-Idempotency-Key":
+		return strings.ToLower(name)
+	default:
+		return name
+	}
+}
+
 // fail tells the entry of an attempt that has no answer. Only where the
 // endpoint couldn't be connected to is it certain that nothing ran.
 func (a *Agent) fail(ctx context.Context, stream *link.Stream, attempt *wirepb.Attempt, epoch string, err error) {
--- a/internal/entry/claimed_test.go
+++ b/internal/entry/claimed_test.go
@@ -50,3 +50,22 @@
 	require.Equal(t, "unknown", asked.Header.Get("Lentilstand-Outcome"))
 	require.Len(t, ledger.Executions(), 1, "nobody runs it again")
 }
+
+// TestEmptyChangeIsSentOnce loses the answer of a change without a body on a
+// connection that was used before. HTTP clients like to send such a request
+// again if it has an idempotency key.
+func TestEmptyChangeIsSentOnce(t *testing.T) {
+	ledger := &stand.Ledger{}
+	b := startBench(t, oneEach(stand.DefaultEngineSpec(), stand.PlainSpec{Capacity: 4, Ledger: ledger}))
+	address := b.Entry("entry-1").Address()
+	_, err := b.Call(context.Background(), address, "a", http.MethodGet, "/depozit/stock", "", nil)
+	require.NoError(t, err)
+	b.Plain("depozit-1").SetFaults(stand.PlainFaults{LoseAnswers: true})
+	for _, header := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		answer, err := b.Call(context.Background(), address, "a", http.MethodPost, "/depozit/"+header, "", http.Header{header: {"k"}})
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, answer.Status)
+		require.Equal(t, "unknown", answer.Header.Get("Lentilstand-Outcome"))
+	}
+	require.Len(t, ledger.Executions(), 2)
+}
