platform, internal/edge, internal/rank: entries and agents run on the Ruderbund platform

Change: platform/ decodes the store, callers' and replicas' heads and the ranks' interface once into the types of pkg/table and pkg/store. pkg/belief keeps what a process believes by the store's revisions, whichever source speaks. internal/edge is the entry (--platform): one watch a host, datagrams among entries, straight connections to replicas, streams event by event. internal/rank is the agent: the load of its replica to entries that ask.

Ruled out: tokens by way of the agent (one more process and a link of 20 Mbit/s); agents that watch the store (twelve more watches a site): entries tell agents of one another.

--- /dev/null
+++ b/cmd/lentilstand/cgo.go
@@ -0,0 +1,5 @@
+// The platform runs programs that are linked against the system's C library.
+
+package main
+
+import "C"
--- /dev/null
+++ b/cmd/lentilstand/reload.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilstand/lentilstand/internal/event"
+)
+
+// settingsPeriod is how often the settings file is looked at for changes that no
+// signal tells of.
+const settingsPeriod = 2 * time.Second
+
+// watchSettings calls reload on SIGHUP and when the file's content changes, until
+// stop is called. Settings that reload refuses are logged and left.
+func watchSettings(path string, logger *zap.Logger, reload func() error) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(settingsPeriod)
+		defer ticker.Stop()
+		known, _ := os.ReadFile(path)
+		for {
+			signalled := false
+			select {
+			case <-done:
+				return
+			case <-signals:
+				signalled = true
+			case <-ticker.C:
+			}
+			content, err := os.ReadFile(path)
+			if err == nil && !signalled && bytes.Equal(content, known) {
+				continue
+			}
+			if err == nil {
+				known = content
+				err = reload()
+			}
+			if err != nil && (signalled || !os.IsNotExist(err)) {
+				event.SettingsRefused.Log(logger, zap.String("path", path), event.Error(err))
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
+	}
+}
--- /dev/null
+++ b/internal/edge/follow.go
@@ -0,0 +1,295 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/pkg/belief"
+	"github.com/lentilstand/lentilstand/pkg/store"
+	"github.com/lentilstand/lentilstand/pkg/table"
+	"github.com/lentilstand/lentilstand/platform"
+)
+
+// How the store is followed. Each call is priced, so a watch waits as long as the
+// bound on news allows; peers that have read more end it early.
+const (
+	// watchWait is how long one watch waits.
+	watchWait = 4 * time.Second
+	// storePause is the pause after a call that failed.
+	storePause = 300 * time.Millisecond
+	// gapAfter is the time without a successful call after which entries may have
+	// lapsed unseen: the shortest lease there is.
+	gapAfter = time.Second
+	// memberTTL is the lease of an entry's registration, renewed each memberRenewal.
+	memberTTL     = 3 * time.Second
+	memberRenewal = time.Second
+)
+
+// everything is the prefix of all keys.
+const everything = ""
+
+// follower keeps the entry's picture of the system.
+type follower struct {
+	entry *Entry
+
+	mu        sync.Mutex
+	state     *belief.State
+	reachable bool
+	lastHeard time.Time
+	gapUntil  time.Time
+	cutWatch  context.CancelFunc
+	version   uint64
+	evacuated map[string]bool
+
+	leaseMu sync.Mutex
+	lease   uint64
+	gone    bool
+}
+
+func newFollower(e *Entry) *follower {
+	return &follower{entry: e, state: belief.New(platform.Decode)}
+}
+
+// run follows the store until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	fresh := false
+	for ctx.Err() == nil {
+		var err error
+		if !fresh {
+			err = f.readAll(ctx)
+			fresh = err == nil
+		} else {
+			err = f.watch(ctx)
+			if eris.Is(err, platform.ErrHistoryGone) {
+				fresh = false
+				continue
+			}
+		}
+		f.setReachable(ctx, err)
+		if err != nil {
+			fresh = false
+			pause(ctx, storePause)
+		}
+	}
+}
+
+// readAll reads everything and replaces the picture.
+func (f *follower) readAll(ctx context.Context) error {
+	snapshot, err := f.entry.store.Read(ctx, everything)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	gap := f.inGap(now)
+	if !f.state.Replace(snapshot, now, gap) {
+		event.VersionWentBack.Log(f.entry.logger, zap.Uint64("known_term", f.state.Revision()), zap.Uint64("shown_term", snapshot.Revision()))
+		return eris.New("the store showed an older state")
+	}
+	event.PictureTaken.Log(f.entry.logger, zap.String("source", "store"), zap.Uint64("revision", snapshot.Revision()), zap.Bool("after_gap", gap))
+	f.lastHeard = now
+	f.publish("store")
+	return nil
+}
+
+// inGap reports whether entries may have lapsed unseen, now and for a while after
+// the store is back. The caller holds the lock.
+func (f *follower) inGap(now time.Time) bool {
+	if !f.lastHeard.IsZero() && now.Sub(f.lastHeard) > watchWait+gapAfter || !f.reachable && !f.lastHeard.IsZero() {
+		f.gapUntil = now.Add(belief.LapseGrace)
+	}
+	return now.Before(f.gapUntil)
+}
+
+// watch waits for changes and takes them in.
+func (f *follower) watch(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	after := f.state.Revision()
+	f.cutWatch = cancel
+	f.mu.Unlock()
+	changes, revision, err := f.entry.store.Watch(ctx, everything, after, watchWait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wasCut := f.cutWatch == nil
+	f.cutWatch = nil
+	if err != nil {
+		if wasCut {
+			return nil
+		}
+		return err
+	}
+	now := time.Now()
+	if len(changes) == 0 {
+		f.lastHeard = now
+		f.state.Confirm(now)
+		f.entry.picture.Store(f.state.Picture())
+		return nil
+	}
+	f.state.Apply(changes, revision, now, f.inGap(now))
+	f.lastHeard = now
+	f.publish("watch")
+	return nil
+}
+
+// learn takes in a picture that a peer has read of the store.
+func (f *follower) learn(snapshot store.Snapshot, peer string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if snapshot.Revision() <= f.state.Revision() {
+		return
+	}
+	now := time.Now()
+	f.state.Replace(snapshot, now, f.inGap(now))
+	event.PictureTaken.Log(f.entry.logger, zap.String("source", peer), zap.Uint64("revision", snapshot.Revision()))
+	f.publish(peer)
+	if f.cutWatch != nil {
+		// The watch has missed what the peer has read.
+		event.WatchBehind.Log(f.entry.logger, zap.String("peer", peer), zap.Uint64("revision", snapshot.Revision()))
+		f.cutWatch()
+		f.cutWatch = nil
+	}
+}
+
+// publish makes the newest picture the entry's. The caller holds the lock.
+func (f *follower) publish(source string) {
+	logger := f.entry.logger
+	for _, finding := range f.state.TakeFindings() {
+		if !eris.Is(finding.Err(), platform.ErrForeign) {
+			event.ItemUnreadable.Log(logger, zap.String("key", finding.Key()), event.Error(finding.Err()))
+		}
+	}
+	picture := f.state.Picture()
+	if t := picture.Table(); t != nil && t.Version() != f.version {
+		f.version = t.Version()
+		event.TableAdopted.Log(logger, zap.Uint64("version", t.Version()), zap.Uint64("revision", picture.Revision()), zap.String("source", source))
+	}
+	f.logEvacuations(picture)
+	f.entry.publish(picture)
+}
+
+// logEvacuations logs what begins and ends. The caller holds the lock.
+func (f *follower) logEvacuations(picture *belief.Picture) {
+	evacuated := make(map[string]bool)
+	picture.Each(func(endpoint *table.Endpoint) {
+		if dataCentre := endpoint.DataCentre(); picture.Evacuated(dataCentre) {
+			evacuated[dataCentre] = true
+		}
+	})
+	for dataCentre := range evacuated {
+		if !f.evacuated[dataCentre] {
+			event.EvacuationBegun.Log(f.entry.logger, zap.String("data_centre", dataCentre), zap.Uint64("revision", picture.Revision()))
+		}
+	}
+	for dataCentre := range f.evacuated {
+		if !evacuated[dataCentre] {
+			event.EvacuationEnded.Log(f.entry.logger, zap.String("data_centre", dataCentre), zap.Uint64("revision", picture.Revision()))
+		}
+	}
+	f.evacuated = evacuated
+}
+
+// expire ends grace periods.
+func (f *follower) expire(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state.Expire(now) {
+		f.publish("grace")
+	}
+}
+
+// known returns the revision that the picture is of, and its pairs.
+func (f *follower) known() (uint64, []store.Pair) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Revision(), f.state.Pairs()
+}
+
+func (f *follower) revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Revision()
+}
+
+func (f *follower) setReachable(ctx context.Context, cause error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if reachable := cause == nil; reachable != f.reachable {
+		f.reachable = reachable
+		if reachable {
+			event.StoreReachable.Log(f.entry.logger, zap.Uint64("revision", f.state.Revision()))
+		} else {
+			event.StoreUnreachable.Log(f.entry.logger, zap.Uint64("revision", f.state.Revision()), event.Error(cause))
+		}
+	}
+}
+
+// register keeps the entry registered as a member while it serves.
+func (f *follower) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.leaseMu.Lock()
+		err := f.keep(ctx)
+		f.leaseMu.Unlock()
+		if err != nil {
+			pause(ctx, storePause)
+			continue
+		}
+		pause(ctx, memberRenewal)
+	}
+}
+
+// keep renews the registration, or makes it. The caller holds the lease's lock.
+func (f *follower) keep(ctx context.Context) error {
+	if f.gone || f.entry.Ready() != "" {
+		return nil
+	}
+	e := f.entry
+	if f.lease != 0 {
+		err := e.store.KeepAlive(ctx, f.lease)
+		if !eris.Is(err, store.ErrLeaseGone) {
+			return err
+		}
+		event.MemberLost.Log(e.logger, zap.Uint64("lease", f.lease))
+		f.lease = 0
+	}
+	lease, err := e.store.Grant(ctx, memberTTL)
+	if err != nil {
+		return err
+	}
+	settings := e.settings.Load()
+	key, value := platform.MemberPair(table.NewMember(settings.Name(), settings.DataCentre(), settings.Listen(), settings.Peer()))
+	if err := e.store.Write(ctx, key, value, lease); err != nil {
+		return err
+	}
+	f.lease = lease
+	event.MemberJoined.Log(e.logger, zap.Uint64("lease", lease))
+	return nil
+}
+
+// leaveTimeout bounds the calls that deregister an entry.
+const leaveTimeout = time.Second
+
+// deregister ends the registration, so that callers are told other entries.
+func (f *follower) deregister() {
+	f.leaseMu.Lock()
+	defer f.leaseMu.Unlock()
+	f.gone = true
+	if f.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := f.entry.store.Revoke(ctx, f.lease); err != nil {
+		event.StoreUnreachable.Log(f.entry.logger, zap.String("reason", "the registration couldn't be ended; it lapses"), event.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/edge/service.go
@@ -0,0 +1,413 @@
+package edge
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/internal/wirepb"
+	"github.com/lentilstand/lentilstand/pkg/belief"
+	"github.com/lentilstand/lentilstand/pkg/pick"
+	"github.com/lentilstand/lentilstand/pkg/table"
+)
+
+// Bounds of what waits and of trust in endpoints.
+const (
+	// engineExtra is how many requests may stand at a model replica beyond its
+	// slots: one that begins as another ends costs no pause.
+	engineExtra = 2
+	// plainExtra is the same for endpoints of plain services.
+	plainExtra = 4
+	// failureHalfLife is how fast a failure is forgotten.
+	failureHalfLife = 2 * time.Second
+	// shunAt and trustAt are the failures at which an endpoint is shunned and trusted
+	// again.
+	shunAt, trustAt = 2.5, 1.0
+	// agentSilence is how long an agent that was heard may send nothing before its
+	// reports count no more; it reports several times a second.
+	agentSilence = 700 * time.Millisecond
+	// waitShare is the share of a route's aim that a request may wait for room.
+	waitShare = 0.25
+)
+
+// erredWeight is what an error in an answer counts: services have requests that
+// fail wherever they run.
+const erredWeight = 0.3
+
+// Errors of place. Both mean that nothing was sent.
+var (
+	errFull = eris.New("all endpoints are busy")
+	errNone = eris.New("no endpoint takes requests")
+	// errLate says that the request would begin too late to be of use.
+	errLate = eris.New("the request would begin too late")
+)
+
+// endpoint is what the entry knows of one endpoint, under its service's lock.
+type endpoint struct {
+	spec      *table.Endpoint
+	draining  bool
+	mine      int
+	reported  int
+	mineThen  int
+	slots     int
+	heard     time.Time
+	agent     bool
+	closed    bool
+	pace      float64
+	failures  float64
+	failedAt  time.Time
+	shunned   bool
+	coldUntil time.Time
+	sent      []time.Time
+}
+
+// failing returns the decayed count of failures.
+func (e *endpoint) failing(now time.Time) float64 {
+	return e.failures * math.Exp2(-now.Sub(e.failedAt).Seconds()/failureHalfLife.Seconds())
+}
+
+// waiter is a request that waits for room.
+type waiter struct {
+	priority int
+	since    time.Time
+	tried    map[string]bool
+	turn     chan *endpoint
+}
+
+// service holds the endpoints of a service and the requests that wait for them.
+type service struct {
+	name   string
+	own    string
+	logger *zap.Logger
+	cold   func() (perSecond float64)
+
+	mu        sync.Mutex
+	engine    bool
+	endpoints []*endpoint
+	evacuated map[string]bool
+	waiting   []*waiter
+	finished  rate
+}
+
+// rate counts what happens in a second, smoothed.
+type rate struct {
+	perSecond float64
+	last      time.Time
+}
+
+const rateHalfLife = time.Second
+
+func (r *rate) add(now time.Time) {
+	r.perSecond = r.at(now) + math.Ln2/rateHalfLife.Seconds()
+	r.last = now
+}
+
+func (r *rate) at(now time.Time) float64 {
+	return r.perSecond * math.Exp2(-now.Sub(r.last).Seconds()/rateHalfLife.Seconds())
+}
+
+// update takes in the endpoints of a picture.
+func (s *service) update(picture *belief.Picture, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	specs := picture.Endpoints(s.name)
+	kept := make([]*endpoint, 0, len(specs))
+	for _, spec := range specs {
+		e := s.find(spec.ID())
+		if e == nil || e.spec.Incarnation() != spec.Incarnation() {
+			e = &endpoint{slots: spec.Slots(), pace: 1}
+			if spec.ColdFor() > 0 {
+				e.coldUntil = now.Add(spec.ColdFor())
+			}
+			event.EndpointAdded.Log(s.logger, zap.String("service", s.name), zap.String("endpoint", spec.ID()),
+				zap.Stringer("address", spec.Address()), zap.Duration("cold_for", spec.ColdFor()))
+		} else if spec.ColdFor() > 0 && spec.ColdFor() != e.spec.ColdFor() {
+			e.coldUntil = now.Add(spec.ColdFor())
+			event.EndpointCold.Log(s.logger, zap.String("endpoint", spec.ID()), zap.Duration("cold_for", spec.ColdFor()))
+		}
+		if spec.Draining() && !e.draining {
+			event.EndpointLeaving.Log(s.logger, zap.String("endpoint", spec.ID()), zap.Uint64("revision", picture.Revision()))
+		}
+		e.spec, e.draining = spec, spec.Draining()
+		kept = append(kept, e)
+	}
+	for _, e := range s.endpoints {
+		if !slices.Contains(kept, e) {
+			event.EndpointRemoved.Log(s.logger, zap.String("service", s.name), zap.String("endpoint", e.spec.ID()),
+				zap.Uint64("revision", picture.Revision()))
+		}
+	}
+	s.endpoints = kept
+	s.evacuated = make(map[string]bool)
+	for _, e := range kept {
+		if picture.Evacuated(e.spec.DataCentre()) {
+			s.evacuated[e.spec.DataCentre()] = true
+		}
+	}
+	table := picture.Table()
+	s.engine = table != nil && table.Service(s.name) != nil && table.Service(s.name).Engine() != nil
+	s.serveWaiting(now)
+}
+
+// find returns the endpoint of an id. The caller holds the lock.
+func (s *service) find(id string) *endpoint {
+	for _, e := range s.endpoints {
+		if e.spec.ID() == id {
+			return e
+		}
+	}
+	return nil
+}
+
+// loads returns what the choice needs to know. The caller holds the lock.
+func (s *service) loads(tried map[string]bool, now time.Time) []pick.Load {
+	loads := make([]pick.Load, len(s.endpoints))
+	perSecond := s.cold()
+	for i, e := range s.endpoints {
+		age := time.Duration(-1)
+		if !e.heard.IsZero() {
+			age = now.Sub(e.heard)
+		}
+		silent := e.agent && age > agentSilence
+		loads[i] = pick.Load{
+			Slots:    e.slots,
+			Mine:     e.mine,
+			Reported: e.reported,
+			MineThen: e.mineThen,
+			Age:      age,
+			Failures: e.failing(now),
+			Pace:     e.pace,
+			Local:    e.spec.DataCentre() == s.own,
+			Closed:   e.draining || s.evacuated[e.spec.DataCentre()] || (e.closed && !silent),
+			Spent:    perSecond > 0 && now.Before(e.coldUntil) && e.sentWithin(now, time.Second) >= perSecond,
+			Shunned:  e.shunned,
+			Tried:    tried[e.spec.ID()],
+		}
+	}
+	return loads
+}
+
+// sentWithin returns how many requests were sent in the last span.
+func (e *endpoint) sentWithin(now time.Time, span time.Duration) float64 {
+	first := 0
+	for first < len(e.sent) && now.Sub(e.sent[first]) > span {
+		first++
+	}
+	e.sent = e.sent[first:]
+	return float64(len(e.sent))
+}
+
+// take chooses an endpoint and counts the request there. The caller holds the
+// lock.
+func (s *service) take(tried map[string]bool, now time.Time) (*endpoint, pick.Verdict) {
+	extra := plainExtra
+	if s.engine {
+		extra = engineExtra
+	}
+	at, verdict := pick.Choose(s.loads(tried, now), extra, rand.Uint64())
+	if verdict != pick.Chosen {
+		return nil, verdict
+	}
+	e := s.endpoints[at]
+	e.mine++
+	if now.Before(e.coldUntil) {
+		e.sent = append(e.sent, now)
+	}
+	return e, pick.Chosen
+}
+
+// place returns an endpoint for a request, after a wait of at most patience. It
+// refuses at once what would wait longer.
+func (s *service) place(ctx context.Context, tried map[string]bool, priority int, patience time.Duration) (*endpoint, error) {
+	now := time.Now()
+	s.mu.Lock()
+	if len(s.waiting) == 0 {
+		e, verdict := s.take(tried, now)
+		switch verdict {
+		case pick.Chosen:
+			s.mu.Unlock()
+			return e, nil
+		case pick.None:
+			s.mu.Unlock()
+			return nil, errNone
+		}
+	}
+	ahead := 0
+	for _, w := range s.waiting {
+		if w.priority <= priority {
+			ahead++
+		}
+	}
+	if s.finished.at(now)*patience.Seconds() < float64(ahead+1) {
+		s.mu.Unlock()
+		return nil, errFull
+	}
+	w := &waiter{priority: priority, since: now, tried: tried, turn: make(chan *endpoint, 1)}
+	s.waiting = append(s.waiting, w)
+	s.mu.Unlock()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case e := <-w.turn:
+		return e, nil
+	case <-timer.C:
+		return s.leave(w, errLate)
+	case <-ctx.Done():
+		e, err := s.leave(w, ctx.Err())
+		if err == nil {
+			s.release(e)
+			err = ctx.Err()
+		}
+		return nil, err
+	}
+}
+
+// leave takes a waiter out of the line, unless its turn has just come.
+func (s *service) leave(w *waiter, reason error) (*endpoint, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at := slices.Index(s.waiting, w); at >= 0 {
+		s.waiting = slices.Delete(s.waiting, at, at+1)
+		return nil, reason
+	}
+	return <-w.turn, nil
+}
+
+// serveWaiting gives room to those who wait, by priority and then by time. The
+// caller holds the lock.
+func (s *service) serveWaiting(now time.Time) {
+	for len(s.waiting) > 0 {
+		next := 0
+		for i, w := range s.waiting {
+			if w.priority < s.waiting[next].priority {
+				next = i
+			}
+		}
+		w := s.waiting[next]
+		e, verdict := s.take(w.tried, now)
+		if verdict != pick.Chosen {
+			return
+		}
+		s.waiting = slices.Delete(s.waiting, next, next+1)
+		w.turn <- e
+	}
+}
+
+// release takes note that a request has left an endpoint.
+func (s *service) release(e *endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	e.mine--
+	s.finished.add(now)
+	s.serveWaiting(now)
+}
+
+// succeeded and failed take note of an endpoint's outcomes.
+func (s *service) succeeded(e *endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	e.failures, e.failedAt = e.failing(now)*0.7, now
+	if e.shunned && e.failures < trustAt {
+		e.shunned = false
+		event.EndpointTrusted.Log(s.logger, zap.String("endpoint", e.spec.ID()))
+	}
+}
+
+func (s *service) failed(e *endpoint, reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	e.failures, e.failedAt = e.failing(now)+1, now
+	if !e.shunned && e.failures >= shunAt {
+		e.shunned = true
+		event.EndpointShunned.Log(s.logger, zap.String("endpoint", e.spec.ID()), zap.String("reason", reason),
+			zap.Float64("failures", e.failures))
+	}
+}
+
+// forgive lets endpoints that were shunned have a trial once their failures are
+// old.
+func (s *service) forgive(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.endpoints {
+		if e.shunned && e.failing(now) < trustAt {
+			e.shunned = false
+			event.EndpointTrusted.Log(s.logger, zap.String("endpoint", e.spec.ID()), zap.String("reason", "its failures are old"))
+		}
+		if e.agent && now.Sub(e.heard) > agentSilence && e.closed {
+			e.closed = false
+		}
+	}
+	s.serveWaiting(now)
+}
+
+// shown takes in the load that an answer's head shows.
+func (s *service) shown(e *endpoint, running, waiting, slots int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.agent {
+		return
+	}
+	e.reported, e.mineThen, e.heard = running+waiting, e.mine, time.Now()
+	if slots > 0 {
+		e.slots = slots
+	}
+}
+
+// heardFrom takes in an agent's report on the endpoint at an IP address.
+func (s *service) heardFrom(from netip.Addr, load *wirepb.Load) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, e := range s.endpoints {
+		if e.spec.Address().Addr() != from {
+			continue
+		}
+		if !e.agent {
+			e.agent = true
+			event.AgentHeard.Log(s.logger, zap.String("endpoint", e.spec.ID()))
+		}
+		e.reported, e.mineThen, e.heard = int(load.GetRunning()+load.GetWaiting()), e.mine, now
+		e.closed = !load.GetOpen() || !load.GetReachable()
+		e.pace = max(1, load.GetPace())
+		s.serveWaiting(now)
+		return true
+	}
+	return false
+}
+
+// capacity returns the share of the slots that are taken and whether any endpoint
+// takes requests.
+func (s *service) capacity() (taken float64, open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	busy, slots := 0, 0
+	for _, load := range s.loads(nil, time.Now()) {
+		if !load.Closed {
+			busy, slots, open = busy+load.Busy(), slots+load.Slots, true
+		}
+	}
+	if slots == 0 {
+		return 1, open
+	}
+	return float64(busy) / float64(slots), open
+}
+
+// erred takes note of an error in an endpoint's answer.
+func (s *service) erred(e *endpoint, _ string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	e.failures, e.failedAt = e.failing(now)+erredWeight, now
+}
--- a/internal/webio/exchange.go
+++ b/internal/webio/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
+	"strconv"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -43,6 +44,63 @@
 // closeAfter ends the connection after the answer.
 func (e *Exchange) closeAfter() { e.request.Close = true }
 
+// Answered reports whether an answer has begun.
+func (e *Exchange) Answered() bool { return e.answered }
+
+// PassOn answers with a whole body and exactly the given headers, beside those
+// that frame the answer. The connection is kept unless the caller wants it closed
+// or the server stops.
+func (e *Exchange) PassOn(status int, header http.Header, body []byte) error {
+	e.answered = true
+	if _, _, err := e.response.Hijack(); err != nil {
+		return eris.Wrap(err, "can't take over the connection")
+	}
+	header = header.Clone()
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	closing := e.frame(header)
+	head, err := encodeHead(status, header)
+	if err != nil {
+		return err
+	}
+	if e.request.Method != http.MethodHead {
+		head = append(head, body...)
+	}
+	_, err = deadlineWriter{conn: e.conn}.Write(head)
+	if closing || err != nil {
+		_ = e.conn.Close()
+	}
+	return err
+}
+
+// frame says in the header whether the connection ends after the answer, and
+// reports it.
+func (e *Exchange) frame(header http.Header) (closing bool) {
+	closing = e.request.Close || e.server.isClosing()
+	if closing {
+		header.Set("Connection", "close")
+	}
+	return closing
+}
+
+func encodeHead(status int, header http.Header) ([]byte, error) {
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	if err := header.Write(&head); err != nil {
+		return nil, eris.Wrap(err, "can't write a header")
+	}
+	head.WriteString("\r\n")
+	return head.Bytes(), nil
+}
+
+// Abort ends the connection without an answer, or without the end of one.
+func (e *Exchange) Abort() {
+	e.answered = true
+	if _, _, err := e.response.Hijack(); err != nil {
+		e.closeAfter()
+	}
+	_ = e.conn.Close()
+}
+
 // Reply answers with a whole body.
 func (e *Exchange) Reply(status int, header http.Header, body []byte) {
 	if e.answered {
@@ -68,32 +126,45 @@
 }
 
 // StartStream answers with a body that comes piece by piece. The caller must
-// Close or Abort the stream.
+// Close or Abort the stream. The connection ends with the stream.
 func (e *Exchange) StartStream(status int, header http.Header) (*Stream, error) {
+	e.closeAfter()
+	stream, err := e.KeepStream(status, header)
+	if err != nil {
+		return nil, err
+	}
+	return stream, stream.Flush()
+}
+
+// KeepStream is like StartStream, and keeps the connection after a stream that
+// ended cleanly.
+func (e *Exchange) KeepStream(status int, header http.Header) (*Stream, error) {
 	e.answered = true
 	if _, _, err := e.response.Hijack(); err != nil {
 		return nil, eris.Wrap(err, "can't take over the connection")
 	}
-	var head bytes.Buffer
-	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	header = header.Clone()
 	header.Del("Content-Length")
 	header.Set("Transfer-Encoding", "chunked")
-	header.Set("Connection", "close")
-	if err := header.Write(&head); err != nil {
-		return nil, eris.Wrap(err, "can't write a header")
+	closing := e.frame(header)
+	head, err := encodeHead(status, header)
+	if err != nil {
+		return nil, err
 	}
-	head.WriteString("\r\n")
 	buffer := bufio.NewWriterSize(deadlineWriter{conn: e.conn}, streamBufferBytes)
-	stream := &Stream{conn: e.conn, buffer: buffer, chunks: httputil.NewChunkedWriter(buffer)}
+	stream := &Stream{conn: e.conn, buffer: buffer, chunks: httputil.NewChunkedWriter(buffer), closing: closing}
 	e.stream = stream
-	if _, err := (deadlineWriter{conn: e.conn}).Write(head.Bytes()); err != nil {
+	// The head leaves with the first piece.
+	if _, err := buffer.Write(head); err != nil {
 		_ = e.conn.Close()
 		return nil, err
 	}
 	return stream, nil
 }
 
+// Flush sends a stream's head without a piece.
+func (s *Stream) Flush() error { return s.buffer.Flush() }
+
 // panicked ends an exchange whose handler panicked.
 func (e *Exchange) panicked() {
 	if e.stream != nil {
@@ -118,12 +189,14 @@
 	return n, nil
 }
 
-// Stream is an answer that is written piece by piece. It ends the connection,
-// so that a caller can always tell a whole answer from a broken one.
+// Stream is an answer that is written piece by piece. Only a clean end is marked
+// in its framing, so that a caller can always tell a whole answer from a broken
+// one.
 type Stream struct {
-	conn   *connection
-	buffer *bufio.Writer
-	chunks io.WriteCloser
+	conn    *connection
+	buffer  *bufio.Writer
+	chunks  io.WriteCloser
+	closing bool
 }
 
 // streamBufferBytes is large enough to send a token's chunk in one write.
@@ -144,7 +217,14 @@
 
 // Close ends the answer cleanly.
 func (s *Stream) Close() error {
-	defer s.Abort()
+	err := s.end()
+	if s.closing || err != nil {
+		s.Abort()
+	}
+	return err
+}
+
+func (s *Stream) end() error {
 	if err := s.chunks.Close(); err != nil {
 		return err
 	}
--- a/internal/webio/server.go
+++ b/internal/webio/server.go
@@ -74,6 +74,7 @@
 	listener *net.TCPListener
 	conns    map[*connection]bool
 	stopping bool
+	closing  bool
 	wait     sync.WaitGroup
 }
 
@@ -211,7 +212,7 @@
 	stop := c.watch(cancel)
 	defer stop()
 	defer s.recoverPanic(exchange)
-	if s.isStopping() {
+	if s.isClosing() {
 		exchange.closeAfter()
 	}
 	s.handler.ServeExchange(exchange)
@@ -230,6 +231,21 @@
 	return s.stopping
 }
 
+// isClosing reports whether connections end after their next answer.
+func (s *Server) isClosing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing || s.stopping
+}
+
+// Withdraw makes callers leave: each connection ends after its next answer. New
+// ones are still accepted, for callers that haven't heard yet.
+func (s *Server) Withdraw() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+}
+
 // Shutdown stops accepting, lets running requests finish until ctx ends, and
 // then closes what is left. It returns how many connections it cut off.
 func (s *Server) Shutdown(ctx context.Context) int {
--- /dev/null
+++ b/pkg/belief/belief.go
@@ -0,0 +1,271 @@
+// Package belief holds what a process believes of the system: the routing table,
+// the endpoints, evacuations and members, as one plain state machine apart from
+// its sources.
+//
+// Sources are full reads of the store, changes that a watch shows, and pictures
+// of peers. Each is numbered by the store's revision, and a key never goes back
+// to an older revision, whichever source speaks. State makes a new immutable
+// Picture of each step, which requests are decided by.
+package belief
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lentilstand/lentilstand/pkg/store"
+	"github.com/lentilstand/lentilstand/pkg/table"
+)
+
+// LapseGrace is how long an endpoint whose entry lapsed while the store couldn't
+// be watched still counts: live ones register again within about two seconds.
+const LapseGrace = 2200 * time.Millisecond
+
+// removalsKept is how long the removal of a key is remembered, against older
+// news of it from peers.
+const removalsKept = 60 * time.Second
+
+// Decoder tells what a pair says: a *table.Table, a *table.Endpoint, a
+// table.Evacuation or a table.Member, or an error.
+type Decoder func(pair store.Pair) (any, error)
+
+// Picture is what is believed at one moment. It is immutable.
+type Picture struct {
+	table     *table.Table
+	endpoints map[string][]*table.Endpoint
+	evacuated map[string]bool
+	members   []table.Member
+	revision  uint64
+	confirmed time.Time
+}
+
+// Table returns the routing table, nil before the first one is known.
+func (p *Picture) Table() *table.Table { return p.table }
+
+// Endpoints returns the endpoints of a service in the order of their names. The
+// caller must not change the slice.
+func (p *Picture) Endpoints(service string) []*table.Endpoint { return p.endpoints[service] }
+
+// Each calls f for every endpoint.
+func (p *Picture) Each(f func(*table.Endpoint)) {
+	for _, endpoints := range p.endpoints {
+		for _, endpoint := range endpoints {
+			f(endpoint)
+		}
+	}
+}
+
+// Evacuated reports whether nothing more may be sent to a data centre.
+func (p *Picture) Evacuated(dataCentre string) bool { return p.evacuated[dataCentre] }
+
+// Members returns the members in the order of their names. The caller must not
+// change the slice.
+func (p *Picture) Members() []table.Member { return p.members }
+
+// Revision returns the store's revision that the picture is of.
+func (p *Picture) Revision() uint64 { return p.revision }
+
+// Confirmed returns when a source last showed that the picture was current.
+func (p *Picture) Confirmed() time.Time { return p.confirmed }
+
+// item is a pair with what it says.
+type item struct {
+	pair  store.Pair
+	says  any
+	lapse time.Time
+}
+
+// removal remembers that a key is gone.
+type removal struct {
+	revision uint64
+	at       time.Time
+}
+
+// Finding is an item that can't be read, or news that would go back.
+type Finding struct {
+	key string
+	err error
+}
+
+// Key returns the item's key.
+func (f Finding) Key() string { return f.key }
+
+// Err returns what is wrong with it.
+func (f Finding) Err() error { return f.err }
+
+// State turns what sources say into pictures. Use New. It is not safe for
+// concurrent use.
+type State struct {
+	decode   Decoder
+	items    map[string]item
+	removed  map[string]removal
+	table    *table.Table
+	revision uint64
+	current  *Picture
+	findings []Finding
+}
+
+// New returns a state that believes nothing yet.
+func New(decode Decoder) *State {
+	s := &State{decode: decode, items: make(map[string]item), removed: make(map[string]removal)}
+	s.publish(time.Time{})
+	return s
+}
+
+// Picture returns what is believed now.
+func (s *State) Picture() *Picture { return s.current }
+
+// Revision returns the newest revision of the store that was heard of.
+func (s *State) Revision() uint64 { return s.revision }
+
+// TakeFindings returns the findings since it was last called.
+func (s *State) TakeFindings() []Finding {
+	findings := s.findings
+	s.findings = nil
+	return findings
+}
+
+// Pairs returns all pairs that are believed, sorted by key, for a peer.
+func (s *State) Pairs() []store.Pair {
+	pairs := make([]store.Pair, 0, len(s.items))
+	for _, it := range s.items {
+		if it.lapse.IsZero() {
+			pairs = append(pairs, it.pair)
+		}
+	}
+	slices.SortFunc(pairs, func(a, b store.Pair) int { return strings.Compare(a.Key(), b.Key()) })
+	return pairs
+}
+
+// Replace takes in a full read as of the snapshot's revision. Keys that it
+// doesn't hold are gone; an endpoint's entry lapses with LapseGrace if afterGap
+// says that the store couldn't be watched before. It reports whether the read
+// was taken: one that is older than what is known is not.
+func (s *State) Replace(snapshot store.Snapshot, now time.Time, afterGap bool) bool {
+	if snapshot.Revision() < s.revision {
+		return false
+	}
+	held := make(map[string]bool, len(snapshot.Pairs()))
+	for _, pair := range snapshot.Pairs() {
+		held[pair.Key()] = true
+		s.write(pair)
+	}
+	for key, it := range s.items {
+		if held[key] || it.pair.Revision() > snapshot.Revision() {
+			continue
+		}
+		s.remove(key, snapshot.Revision(), now, afterGap)
+	}
+	s.revision = snapshot.Revision()
+	s.publish(now)
+	return true
+}
+
+// Apply takes in the changes up to revision.
+func (s *State) Apply(changes []store.Change, revision uint64, now time.Time, afterGap bool) {
+	for _, change := range changes {
+		if change.IsRemoved() {
+			s.remove(change.Pair().Key(), change.Pair().Revision(), now, afterGap)
+		} else {
+			s.write(change.Pair())
+		}
+	}
+	s.revision = max(s.revision, revision)
+	s.publish(now)
+}
+
+// Confirm takes note that the picture was current at the time now.
+func (s *State) Confirm(now time.Time) { s.publish(now) }
+
+// Expire ends the grace of entries that lapsed and reports whether any did.
+func (s *State) Expire(now time.Time) bool {
+	expired := false
+	for key, it := range s.items {
+		if !it.lapse.IsZero() && now.After(it.lapse) {
+			delete(s.items, key)
+			expired = true
+		}
+	}
+	for key, gone := range s.removed {
+		if now.Sub(gone.at) > removalsKept {
+			delete(s.removed, key)
+		}
+	}
+	if expired {
+		s.publish(s.current.confirmed)
+	}
+	return expired
+}
+
+func (s *State) write(pair store.Pair) {
+	key := pair.Key()
+	known, ok := s.items[key]
+	if ok && known.lapse.IsZero() && known.pair.Revision() >= pair.Revision() {
+		return
+	}
+	if s.removed[key].revision >= pair.Revision() {
+		return
+	}
+	says, err := s.decode(pair)
+	if err != nil {
+		s.findings = append(s.findings, Finding{key: key, err: err})
+		says = nil
+	}
+	if newer, isTable := says.(*table.Table); isTable && (s.table == nil || newer.Version() > s.table.Version()) {
+		s.table = newer
+	}
+	delete(s.removed, key)
+	s.items[key] = item{pair: pair, says: says}
+}
+
+func (s *State) remove(key string, revision uint64, now time.Time, afterGap bool) {
+	known, ok := s.items[key]
+	if ok && known.pair.Revision() > revision {
+		return
+	}
+	s.removed[key] = removal{revision: revision, at: now}
+	if !ok || !known.lapse.IsZero() {
+		return
+	}
+	if afterGap && mayLapse(known.says) {
+		known.lapse = now.Add(LapseGrace)
+		s.items[key] = known
+		return
+	}
+	delete(s.items, key)
+}
+
+// mayLapse reports whether an entry can be gone only because its writer couldn't
+// reach the store.
+func mayLapse(says any) bool {
+	switch entry := says.(type) {
+	case *table.Endpoint:
+		return !entry.Draining()
+	case table.Member:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *State) publish(confirmed time.Time) {
+	p := &Picture{
+		table:     s.table,
+		endpoints: make(map[string][]*table.Endpoint),
+		evacuated: make(map[string]bool),
+		revision:  s.revision,
+		confirmed: confirmed,
+	}
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		switch says := s.items[key].says.(type) {
+		case *table.Endpoint:
+			p.endpoints[says.Service()] = append(p.endpoints[says.Service()], says)
+		case table.Evacuation:
+			p.evacuated[says.DataCentre()] = true
+		case table.Member:
+			p.members = append(p.members, says)
+		}
+	}
+	s.current = p
+}
--- /dev/null
+++ b/pkg/pick/pick.go
@@ -0,0 +1,153 @@
+// Package pick decides which endpoint of a service takes a request, or that none
+// can.
+//
+// The load it answers: several entries share the same endpoints, see their load
+// by reports that lag, and must neither pile onto the endpoint that looked idle
+// last nor queue behind endpoints that can't begin in time. All functions are
+// pure.
+package pick
+
+import "time"
+
+// reportUse is how long a report of an endpoint's load counts; after that only
+// the entry's own requests are known.
+const reportUse = 1500 * time.Millisecond
+
+// Weights of a choice, in requests.
+const (
+	// localBonus prefers the entry's own data centre between equals: bytes that
+	// cross data centres cost more than an imbalance of a fraction of a request.
+	localBonus = 0.4
+	// jitter spreads the choices of entries that see the same reports.
+	jitter = 0.9
+	// failureWeight is what one recent failure of an endpoint counts.
+	failureWeight = 3
+)
+
+// Load is what an entry knows of an endpoint.
+type Load struct {
+	// Slots is how many requests the endpoint runs at once.
+	Slots int
+	// Mine is how many requests of this entry are at the endpoint.
+	Mine int
+	// Reported is how many requests of all entries were there by the last report, and
+	// MineThen how many of this entry as it came.
+	Reported, MineThen int
+	// Age is how old the report is, negative if there is none.
+	Age time.Duration
+	// Failures is the decayed count of the endpoint's recent failures.
+	Failures float64
+	// Pace over 1 means that the endpoint is slower than its kind.
+	Pace float64
+	// Local endpoints stand in the entry's data centre.
+	Local bool
+	// Closed endpoints take nothing: they leave, are evacuated, or can't run.
+	Closed bool
+	// Spent endpoints are cold and have had their share of this second.
+	Spent bool
+	// Shunned endpoints failed often and get a request only as a trial.
+	Shunned bool
+	// Tried endpoints had an attempt of this request before.
+	Tried bool
+}
+
+// Busy estimates how many requests are at the endpoint now: those reported, with
+// what this entry has sent and finished since.
+func (l Load) Busy() int {
+	if l.Age < 0 || l.Age > reportUse {
+		return l.Mine
+	}
+	return max(l.Mine, l.Reported+l.Mine-l.MineThen)
+}
+
+// Verdict is what a choice has found.
+type Verdict int
+
+// The verdicts.
+const (
+	// Chosen says that an endpoint takes the request.
+	Chosen Verdict = iota
+	// Full says that endpoints run, but have no room now.
+	Full
+	// None says that no endpoint can take the request, and not soon.
+	None
+)
+
+// Choose returns the index of the endpoint that takes a request, with room for
+// extra requests beyond an endpoint's slots. Random is any number; it spreads
+// equal choices.
+func Choose(loads []Load, extra int, random uint64) (int, Verdict) {
+	best, bestScore := -1, 0.0
+	verdict := None
+	for i := range loads {
+		load := &loads[i]
+		if load.Closed || load.Tried {
+			continue
+		}
+		if load.Spent {
+			verdict = Full
+			continue
+		}
+		if load.Shunned {
+			continue
+		}
+		busy := load.Busy()
+		if load.Slots > 0 && busy >= load.Slots+extra {
+			verdict = Full
+			continue
+		}
+		score := load.score(busy) + spread(random, i)*jitter
+		if best < 0 || score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best >= 0 {
+		return best, Chosen
+	}
+	return chooseShunned(loads, extra, random, verdict)
+}
+
+// chooseShunned falls back to endpoints that failed, when no other runs at all.
+func chooseShunned(loads []Load, extra int, random uint64, verdict Verdict) (int, Verdict) {
+	if verdict == Full {
+		return -1, Full
+	}
+	best, least := -1, 0.0
+	for i := range loads {
+		load := &loads[i]
+		if load.Closed || load.Tried || load.Spent || !load.Shunned {
+			continue
+		}
+		busy := load.Busy()
+		if load.Slots > 0 && busy >= load.Slots+extra {
+			verdict = Full
+			continue
+		}
+		if score := load.score(busy) + spread(random, i)*jitter; best < 0 || score < least {
+			best, least = i, score
+		}
+	}
+	if best >= 0 {
+		return best, Chosen
+	}
+	return -1, verdict
+}
+
+func (l *Load) score(busy int) float64 {
+	score := float64(busy) + failureWeight*l.Failures
+	if l.Pace > 1 {
+		score *= l.Pace
+	}
+	if l.Local {
+		score -= localBonus
+	}
+	return score
+}
+
+// spread returns a number from 0 to 1 that depends on random and i.
+func spread(random uint64, i int) float64 {
+	x := random + uint64(i+1)*0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return float64((x^(x>>31))>>11) / (1 << 53)
+}
