--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -36,6 +36,8 @@
 	// unreachableAfter is how long the rank may fail to answer before entries are
 	// told so.
 	unreachableAfter = 300 * time.Millisecond
+	// countTicks is how many reports there are for each that counts experts.
+	countTicks = 2
 )
 
 // Agent stands beside one rank. Use New.
@@ -51,9 +53,19 @@
 
 	mu          sync.Mutex
 	subscribers map[netip.AddrPort]time.Time
+	agents      []netip.AddrPort
+	shape       shape
 	state       platform.RankState
 	answered    time.Time
 	unreachable bool
+	counts      counter
+	experts     [][]int
+	expertsMap  uint64
+	expertsIn   uint64
+	seq         uint64
+	orders      orders
+
+	lead *lead
 }
 
 // New returns an agent that isn't running yet.
@@ -69,6 +81,7 @@
 		rank:        platform.NewRank(settings.Endpoint()),
 		subscribers: make(map[netip.AddrPort]time.Time),
 	}
+	a.lead = newLead(a, metrics)
 	return a, nil
 }
 
@@ -87,6 +100,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
 	event.ProcessStarted.Log(a.logger, zap.String("listen", a.settings.Peer()), zap.String("endpoint", a.settings.Endpoint()))
+	a.orders.ctx = ctx
 	a.wait.Go(func() { a.run(ctx) })
 	return nil
 }
@@ -118,7 +132,7 @@
 func (a *Agent) run(ctx context.Context) {
 	ticker := time.NewTicker(reportPeriod)
 	defer ticker.Stop()
-	for {
+	for tick := 0; ; tick++ {
 		select {
 		case <-ctx.Done():
 			return
@@ -126,6 +140,8 @@
 		}
 		a.look(ctx)
 		a.tellEntries()
+		a.report(ctx, tick%countTicks == 0)
+		a.lead.tick(time.Now())
 	}
 }
 
@@ -150,6 +166,74 @@
 	}
 }
 
+// counter turns counts since the rank's start into counts since the last look.
+type counter struct {
+	start int64
+	last  []uint64
+	at    time.Time
+}
+
+// since returns what was added to counts, and over which span, nil at first and
+// after a start of the rank.
+func (c *counter) since(counts []uint64, start int64, now time.Time) ([]uint32, time.Duration) {
+	known := c.start == start && len(c.last) == len(counts)
+	var added []uint32
+	if known {
+		added = make([]uint32, len(counts))
+		for i, count := range counts {
+			if count >= c.last[i] {
+				added[i] = uint32(min(count-c.last[i], 1<<31))
+			}
+		}
+	}
+	span := now.Sub(c.at)
+	c.start, c.last, c.at = start, counts, now
+	return added, span
+}
+
+// report tells the group's leader what the rank does.
+func (a *Agent) report(ctx context.Context, withCounts bool) {
+	a.mu.Lock()
+	state, stale := a.state, time.Since(a.answered) > unreachableAfter
+	knowsExperts := a.expertsMap == state.Map && a.expertsIn == state.Epoch && a.experts != nil
+	a.mu.Unlock()
+	if state.Size == 0 || state.Group == "" || stale {
+		return
+	}
+	if !knowsExperts {
+		if experts, version, err := a.rank.Experts(ctx); err == nil {
+			a.mu.Lock()
+			a.experts, a.expertsMap, a.expertsIn = experts, version, state.Epoch
+			a.mu.Unlock()
+		}
+	}
+	message := &wirepb.RankReport{
+		Group: state.Group, Epoch: state.Epoch, Rank: uint32(state.Rank), Size: uint32(state.Size), Open: state.Open,
+		Start: state.Start, Pass: state.Pass, ExpertMap: state.Map, Prepared: state.Prepared, Armed: state.Armed,
+		ArmedPass: state.ArmedPass, Held: state.IsHeld, HeldPass: state.Held, Running: uint32(state.Running),
+	}
+	if withCounts {
+		if counts, _, err := a.rank.Counts(ctx); err == nil {
+			a.mu.Lock()
+			added, span := a.counts.since(counts, state.Start, time.Now())
+			a.mu.Unlock()
+			message.Counts, message.SpanMs = added, uint32(span.Milliseconds())
+		}
+	}
+	a.mu.Lock()
+	a.seq++
+	message.Seq = a.seq
+	if a.expertsMap == state.Map && a.expertsIn == state.Epoch {
+		message.Experts = encodeExperts(a.experts)
+	}
+	a.mu.Unlock()
+	if leader, own := a.lead.whom(); own {
+		a.lead.take(a.socket.Address(), message)
+	} else if leader.IsValid() {
+		a.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_RankReport{RankReport: message}}, leader)
+	}
+}
+
 // tellEntries sends the rank's load to the entries that asked.
 func (a *Agent) tellEntries() {
 	a.mu.Lock()
@@ -183,13 +267,40 @@
 	switch body := message.GetBody().(type) {
 	case *wirepb.Datagram_Subscribe:
 		a.subscribe(from, body.Subscribe)
+	case *wirepb.Datagram_Lead:
+		a.lead.heard(from, body.Lead)
+	case *wirepb.Datagram_RankReport:
+		a.lead.take(from, body.RankReport)
+	case *wirepb.Datagram_RankOrder:
+		if leader, own := a.lead.whom(); !own && leader == from {
+			a.carryOut(body.RankOrder)
+		}
 	}
 }
 
-func (a *Agent) subscribe(from netip.AddrPort, _ *wirepb.Subscribe) {
+// shape is the shape of the service's expert maps.
+type shape struct {
+	sets, experts, places, spare int
+	copySeconds                  float64
+}
+
+func (a *Agent) subscribe(from netip.AddrPort, asked *wirepb.Subscribe) {
+	var agents []netip.AddrPort
+	for _, text := range asked.GetAgents() {
+		if address, err := netip.ParseAddrPort(text); err == nil {
+			agents = append(agents, address)
+		}
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.subscribers[from] = time.Now()
+	a.agents = agents
+	a.shape = shape{
+		sets: int(asked.GetSets()), experts: int(asked.GetExperts()), places: int(asked.GetPlaces()), spare: int(asked.GetSpare()),
+	}
+	if asked.GetLinkMbps() > 0 {
+		a.shape.copySeconds = asked.GetExpertMb() * 8 / asked.GetLinkMbps()
+	}
 }
 
 // Status returns the agent's state.
--- /dev/null
+++ b/internal/rank/orders.go
@@ -0,0 +1,169 @@
+package rank
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/internal/wirepb"
+	"github.com/lentilstand/lentilstand/platform"
+)
+
+// How orders are carried out.
+const (
+	// orderKept is how long an order counts after the leader last gave it; it gives
+	// what it wants again each orderRefresh.
+	orderKept    = 400 * time.Millisecond
+	orderRefresh = 100 * time.Millisecond
+	// orderPoll is how often the rank is looked at while it copies experts.
+	orderPoll = 25 * time.Millisecond
+)
+
+// orders is the order that the agent carries out. A newer one replaces it.
+type orders struct {
+	ctx     context.Context
+	current *wirepb.RankOrder
+	given   time.Time
+	running bool
+}
+
+// same reports whether two orders ask for the same.
+func same(a, b *wirepb.RankOrder) bool {
+	return a != nil && b != nil && a.GetKind() == b.GetKind() && a.GetEpoch() == b.GetEpoch() &&
+		a.GetVersion() == b.GetVersion() && a.GetPass() == b.GetPass()
+}
+
+// carryOut takes an order of the leader.
+func (a *Agent) carryOut(order *wirepb.RankOrder) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if order.GetGroup() != a.state.Group || a.orders.ctx == nil {
+		return
+	}
+	a.orders.given = time.Now()
+	if same(a.orders.current, order) && a.orders.running {
+		return
+	}
+	a.orders.current = order
+	if !a.orders.running {
+		a.orders.running = true
+		go a.work(a.orders.ctx)
+	}
+}
+
+// wanted returns the order that still counts and isn't achieved, nil if there is
+// none; then the work on orders ends.
+func (a *Agent) wanted() *wirepb.RankOrder {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	order := a.orders.current
+	if order == nil || time.Since(a.orders.given) > orderKept || achieved(order, a.state) || order.GetEpoch() != a.state.Epoch {
+		a.orders.current, a.orders.running = nil, false
+		return nil
+	}
+	return order
+}
+
+// achieved reports whether a rank's state shows what an order asks for.
+func achieved(order *wirepb.RankOrder, state platform.RankState) bool {
+	switch order.GetKind() {
+	case wirepb.RankOrder_KIND_PREPARE:
+		return state.Prepared == order.GetVersion()
+	case wirepb.RankOrder_KIND_ARM:
+		return state.Armed == order.GetVersion() && state.ArmedPass == order.GetPass()
+	case wirepb.RankOrder_KIND_DISARM:
+		return state.Armed != order.GetVersion()
+	case wirepb.RankOrder_KIND_HOLD:
+		return state.IsHeld && state.Held == order.GetPass()
+	case wirepb.RankOrder_KIND_RELEASE:
+		return !state.IsHeld || state.Held != order.GetPass()
+	default:
+		return true
+	}
+}
+
+// work carries out orders until none is wanted.
+func (a *Agent) work(ctx context.Context) {
+	var accepted *wirepb.RankOrder
+	for ctx.Err() == nil {
+		order := a.wanted()
+		if order == nil {
+			return
+		}
+		if same(order, accepted) {
+			time.Sleep(orderPoll)
+		} else {
+			switch err := a.give(ctx, order); {
+			case err == nil:
+				accepted = order
+			case errors.Is(err, platform.ErrNoAnswer):
+				event.OrderUnanswered.Log(a.logger, zap.Stringer("kind", order.GetKind()), zap.Uint64("version", order.GetVersion()),
+					zap.Uint64("pass", order.GetPass()))
+			default:
+				// The leader sees the rank's state and decides anew.
+				accepted = order
+			}
+		}
+		a.look(ctx)
+		a.report(ctx, false)
+	}
+}
+
+// give gives an order to the rank.
+func (a *Agent) give(ctx context.Context, order *wirepb.RankOrder) error {
+	switch order.GetKind() {
+	case wirepb.RankOrder_KIND_PREPARE:
+		a.mu.Lock()
+		size := a.state.Size
+		a.mu.Unlock()
+		return a.rank.Prepare(ctx, order.GetEpoch(), order.GetVersion(), bySet(decodeExperts(order.GetExperts()), size))
+	case wirepb.RankOrder_KIND_ARM:
+		return a.rank.Arm(ctx, order.GetEpoch(), order.GetVersion(), order.GetPass())
+	case wirepb.RankOrder_KIND_DISARM:
+		return a.rank.Disarm(ctx, order.GetEpoch(), order.GetVersion())
+	case wirepb.RankOrder_KIND_HOLD:
+		return a.rank.Hold(ctx, order.GetEpoch(), order.GetPass())
+	default:
+		return a.rank.Release(ctx, order.GetEpoch(), order.GetPass())
+	}
+}
+
+// encodeExperts writes lists of experts one after another: numbered from one,
+// each list with a zero behind it.
+func encodeExperts(lists [][]int) []uint32 {
+	var encoded []uint32
+	for _, list := range lists {
+		for _, expert := range list {
+			encoded = append(encoded, uint32(expert+1))
+		}
+		encoded = append(encoded, 0)
+	}
+	return encoded
+}
+
+func decodeExperts(encoded []uint32) [][]int {
+	var lists [][]int
+	list := []int{}
+	for _, number := range encoded {
+		if number == 0 {
+			lists = append(lists, list)
+			list = []int{}
+			continue
+		}
+		list = append(list, int(number)-1)
+	}
+	return lists
+}
+
+// bySet groups the lists of all ranks, set after set.
+func bySet(lists [][]int, size int) [][][]int {
+	var sets [][][]int
+	for size > 0 && len(lists) >= size {
+		sets = append(sets, lists[:size])
+		lists = lists[size:]
+	}
+	return sets
+}
--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -1,140 +1,426 @@
 package group
 
-// rankState is what a leader knows of a rank in its epoch.
-type rankState struct {
-	joined bool
-	done   uint64
-	held   map[uint64]bool
+import "time"
+
+// View is what a rank reported last.
+type View struct {
+	// Known says that the rank has reported at all.
+	Known bool
+	// At is when the report came.
+	At time.Time
+	// Epoch counts the formations of the group; Open groups run passes.
+	Epoch uint64
+	Open  bool
+	// Pass is the last pass that was begun.
+	Pass uint64
+	// Map is the version in use, Prepared the version that is ready, zero if none.
+	Map, Prepared uint64
+	// Armed is the version that ArmedPass begins with, zero if none.
+	Armed, ArmedPass uint64
+	// Held says that HeldPass doesn't begin until it is released.
+	Held     bool
+	HeldPass uint64
+}
+
+// Kind is what an order asks of a rank.
+type Kind int
+
+// The kinds of orders.
+const (
+	Prepare Kind = iota + 1
+	Arm
+	Disarm
+	Hold
+	Release
+)
+
+// Order asks one rank for something. It is carried out again until the rank's
+// reports show it.
+type Order struct {
+	Rank    int
+	Kind    Kind
+	Epoch   uint64
+	Version uint64
+	Pass    uint64
 }
 
-// Leader is what the leader of a group knows. Use NewLeader.
+// Phase is how far a switch has come.
+type Phase int
+
+// The phases of a switch.
+const (
+	Idle Phase = iota
+	Preparing
+	Holding
+	Arming
+	Releasing
+	Settling
+	Fencing
+)
+
+// String returns the phase's name.
+func (p Phase) String() string {
+	return [...]string{"idle", "preparing", "holding", "arming", "releasing", "settling", "fencing"}[p]
+}
+
+// Bounds of a switch.
+const (
+	// viewUse is how old a report may be to decide by; agents report each 100 ms.
+	viewUse = 500 * time.Millisecond
+	// prepareBound, holdBound and armBound bound the phases. Copies take some hundred
+	// milliseconds, and an order that is lost is given again after 150 ms; while
+	// ranks are armed the group may have to wait, so that phase is short.
+	prepareBound = 4 * time.Second
+	holdBound    = 2 * time.Second
+	armBound     = 1500 * time.Millisecond
+	settleBound  = 2 * time.Second
+	// usualLead is how many passes ahead a switch is put; each phase takes about
+	// one. slowLead is used while orders get lost.
+	usualLead = 4
+	slowLead  = 10
+)
+
+// Outcome is how a switch ended.
+type Outcome int
+
+// The outcomes of a switch.
+const (
+	// Running says that a switch goes on, or that there is none.
+	Running Outcome = iota
+	// Done says that all ranks use the new map.
+	Done
+	// Abandoned says that all ranks keep the map that they had.
+	Abandoned
+)
+
+// Leader leads the switches of one group. It is a plain state machine: Step takes
+// what the ranks report and returns the orders that are due. Use NewLeader.
 type Leader struct {
-	epoch   Epoch
-	ranks   map[string]*rankState
-	names   []string
-	step    uint64
-	out     bool
-	current uint64
-	target  uint64
-	orders  uint64
+	size    int
+	holder  int
+	phase   Phase
+	epoch   uint64
+	version uint64
+	fence   uint64
+	pass    uint64
+	since   time.Time
+	slow    bool
+	next    func(above uint64) uint64
 }
 
-// NewLeader returns the leader of the named ranks who holds the lease with the
-// fencing number, and who uses the given map until it is told another.
-func NewLeader(names []string, fence, expertMap uint64) *Leader {
-	l := &Leader{names: names, current: expertMap, target: expertMap}
-	l.begin(NewEpoch(fence, 0))
-	return l
+// NewLeader returns the leader of a group of size ranks that holds passes at the
+// rank holder. Next returns a new version above another one, unlike any that
+// another leader chooses.
+func NewLeader(size, holder int, next func(above uint64) uint64) *Leader {
+	return &Leader{size: size, holder: holder, next: next}
 }
 
-// begin starts an epoch. Nothing is known of any rank in it.
-func (l *Leader) begin(epoch Epoch) {
-	l.epoch = epoch
-	l.out = false
-	l.ranks = make(map[string]*rankState, len(l.names))
-	for _, name := range l.names {
-		l.ranks[name] = &rankState{held: make(map[uint64]bool)}
+// Phase returns how far the switch has come.
+func (l *Leader) Phase() Phase { return l.phase }
+
+// Version returns the version that is being switched to, or the fence's while
+// fencing.
+func (l *Leader) Version() uint64 {
+	if l.phase == Fencing {
+		return l.fence
 	}
+	return l.version
 }
 
-// Epoch returns the epoch, which ranks are to join.
-func (l *Leader) Epoch() Epoch { return l.epoch }
+// IsFence reports whether the ranks must prepare the map that is in use.
+func (l *Leader) IsFence() bool { return l.phase == Fencing }
 
-// Order returns a new order, newer than all before.
-func (l *Leader) Order() Order {
-	l.orders++
-	return NewOrder(l.epoch.fence, l.orders)
+// Begin begins a switch to a new version and returns it. It must only be called
+// when CanBegin.
+func (l *Leader) Begin(views []View, now time.Time) uint64 {
+	l.epoch = views[0].Epoch
+	l.version = l.next(highest(views))
+	l.enter(Preparing, now)
+	return l.version
 }
 
-// Dropped takes note that a rank doesn't hold a map any more.
-func (l *Leader) Dropped(name string, epoch Epoch, expertMap uint64) {
-	if state := l.ranks[name]; state != nil && epoch == l.epoch {
-		delete(state.held, expertMap)
+// CanBegin reports whether a switch may begin: the group is open, all ranks have
+// reported lately, use one map and have nothing armed or held.
+func (l *Leader) CanBegin(views []View, now time.Time) bool {
+	if l.phase != Idle || !l.complete(views, now) {
+		return false
+	}
+	for _, view := range views {
+		if view.Armed != 0 || view.Held || view.Map != views[0].Map {
+			return false
+		}
 	}
+	return true
 }
 
-// Current returns the map that steps are released with.
-func (l *Leader) Current() uint64 { return l.current }
+// Reset forgets what the leader was about to do, as when it was suspended: what
+// it believed of the ranks may be old. What is held or armed is found again.
+func (l *Leader) Reset() { l.phase = Idle }
 
-// Target returns the map that steps are to be released with as soon as all
-// ranks hold it.
-func (l *Leader) Target() uint64 { return l.target }
+func (l *Leader) enter(phase Phase, now time.Time) {
+	l.phase = phase
+	l.since = now
+}
 
-// Use sets the target. The current map stays in use until every rank holds the
-// target, so a switch that fails costs no step.
-func (l *Leader) Use(expertMap uint64) { l.target = expertMap }
+// complete reports whether all ranks have reported lately, from one open epoch.
+func (l *Leader) complete(views []View, now time.Time) bool {
+	if len(views) != l.size {
+		return false
+	}
+	for _, view := range views {
+		if !view.Known || !view.Open || now.Sub(view.At) > viewUse || view.Epoch != views[0].Epoch {
+			return false
+		}
+	}
+	return true
+}
 
-// Joined takes note that a rank has joined the epoch, with the last step that
-// has ended there and the maps that it holds. Other epochs are left out.
-func (l *Leader) Joined(name string, epoch Epoch, done uint64, held []uint64) {
-	state := l.ranks[name]
-	if state == nil || epoch != l.epoch {
-		return
+func highest(views []View) uint64 {
+	most := uint64(0)
+	for _, view := range views {
+		most = max(most, view.Map, view.Prepared, view.Armed)
 	}
-	state.joined = true
-	state.done = max(state.done, done)
-	for _, expertMap := range held {
-		state.held[expertMap] = true
+	return most
+}
+
+func newestPass(views []View) uint64 {
+	newest := uint64(0)
+	for _, view := range views {
+		newest = max(newest, view.Pass)
 	}
+	return newest
 }
 
-// Restarted takes note that a rank runs anew. Its epoch has ended: all ranks
-// must join the next one.
-func (l *Leader) Restarted(name string) {
-	if l.ranks[name] != nil {
-		l.begin(NewEpoch(l.epoch.fence, l.epoch.count+1))
+// Step takes the ranks' views and returns the orders that are due now, and how a
+// switch ended if one did.
+func (l *Leader) Step(views []View, now time.Time) ([]Order, Outcome) {
+	if l.phase != Idle && l.changedEpoch(views) {
+		// The group formed anew, with the first map and nothing armed or held.
+		l.phase = Idle
+		return nil, Abandoned
+	}
+	if !l.complete(views, now) {
+		return nil, Running
+	}
+	switch l.phase {
+	case Preparing:
+		return l.prepare(views, now)
+	case Holding:
+		return l.hold(views, now)
+	case Arming:
+		return l.arm(views, now)
+	case Releasing:
+		return l.release(views, now)
+	case Settling:
+		return l.settle(views, now)
+	case Fencing:
+		return l.fenceOff(views, now)
+	default:
+		return l.resolve(views, now)
 	}
 }
 
-// Holds takes note that a rank holds a map in the epoch.
-func (l *Leader) Holds(name string, epoch Epoch, expertMap uint64) {
-	if state := l.ranks[name]; state != nil && epoch == l.epoch {
-		state.held[expertMap] = true
+func (l *Leader) changedEpoch(views []View) bool {
+	for _, view := range views {
+		if view.Known && view.Epoch > l.epoch {
+			return true
+		}
 	}
+	return false
 }
 
-// Finished takes note that a step has ended at a rank.
-func (l *Leader) Finished(name string, release Release) {
-	if state := l.ranks[name]; state != nil && release.epoch == l.epoch {
-		state.done = max(state.done, release.step)
+func (l *Leader) order(rank int, kind Kind, version, pass uint64) Order {
+	return Order{Rank: rank, Kind: kind, Epoch: l.epoch, Version: version, Pass: pass}
+}
+
+// prepare has all ranks copy the map.
+func (l *Leader) prepare(views []View, now time.Time) ([]Order, Outcome) {
+	var orders []Order
+	for rank, view := range views {
+		if view.Prepared != l.version {
+			orders = append(orders, l.order(rank, Prepare, l.version, 0))
+		}
+	}
+	if len(orders) > 0 {
+		if now.Sub(l.since) > prepareBound {
+			l.phase, l.slow = Idle, true
+			return nil, Abandoned
+		}
+		return orders, Running
+	}
+	lead := uint64(usualLead)
+	if l.slow {
+		lead = slowLead
 	}
+	l.pass = newestPass(views) + lead
+	l.enter(Holding, now)
+	return l.hold(views, now)
 }
 
-// allHold reports whether every rank holds a map.
-func (l *Leader) allHold(expertMap uint64) bool {
-	for _, state := range l.ranks {
-		if !state.held[expertMap] {
-			return false
+// hold has one rank hold the pass of the switch, before anything is armed.
+func (l *Leader) hold(views []View, now time.Time) ([]Order, Outcome) {
+	for _, view := range views {
+		if view.Held && view.HeldPass == l.pass {
+			l.enter(Arming, now)
+			return l.arm(views, now)
 		}
 	}
-	return true
+	if newestPass(views) >= l.pass || now.Sub(l.since) > holdBound {
+		// Nothing is armed, and a Hold that comes late is refused.
+		l.phase, l.slow = Idle, true
+		return nil, Abandoned
+	}
+	return []Order{l.order(l.holder, Hold, 0, l.pass)}, Running
+}
+
+// arm has all ranks arm the map, and releases the pass when all are seen armed.
+func (l *Leader) arm(views []View, now time.Time) ([]Order, Outcome) {
+	var orders []Order
+	for rank, view := range views {
+		switch {
+		case view.Armed == l.version && view.ArmedPass == l.pass:
+		case view.Prepared == l.version:
+			orders = append(orders, l.order(rank, Arm, l.version, l.pass))
+		default:
+			// Another leader has replaced the map.
+			return l.beginFence(views, now)
+		}
+	}
+	if len(orders) == 0 {
+		l.slow = now.Sub(l.since) > armBound/4
+		l.enter(Releasing, now)
+		return l.release(views, now)
+	}
+	if now.Sub(l.since) > armBound {
+		return l.beginFence(views, now)
+	}
+	return orders, Running
+}
+
+// release ends the hold of a pass that all ranks are armed for.
+func (l *Leader) release(views []View, now time.Time) ([]Order, Outcome) {
+	var orders []Order
+	for rank, view := range views {
+		if view.Held && view.HeldPass == l.pass {
+			orders = append(orders, l.order(rank, Release, 0, l.pass))
+		}
+	}
+	if len(orders) > 0 {
+		return orders, Running
+	}
+	l.enter(Settling, now)
+	return l.settle(views, now)
 }
 
-// Next returns the release of the next step. It reports false while a rank
-// hasn't joined, the step before hasn't ended everywhere, or no map is held by
-// all.
-func (l *Leader) Next() (Release, bool) {
-	last := uint64(0)
-	for _, state := range l.ranks {
-		if !state.joined {
-			return Release{}, false
+// settle waits until all ranks use the map.
+func (l *Leader) settle(views []View, now time.Time) ([]Order, Outcome) {
+	for _, view := range views {
+		if view.Map == l.version {
+			continue
 		}
-		last = max(last, state.done)
+		if view.Held || now.Sub(l.since) > settleBound {
+			// An idle group makes no passes: what is armed is found again later.
+			l.phase = Idle
+		}
+		return nil, Running
+	}
+	l.phase = Idle
+	return nil, Done
+}
+
+func (l *Leader) beginFence(views []View, now time.Time) ([]Order, Outcome) {
+	l.fence = l.next(max(highest(views), l.version))
+	l.slow = true
+	l.enter(Fencing, now)
+	return l.fenceOff(views, now)
+}
+
+// fenceOff disarms all ranks and has them prepare a newer version, after which no
+// late Arm is accepted, and then ends the hold.
+func (l *Leader) fenceOff(views []View, now time.Time) ([]Order, Outcome) {
+	var orders []Order
+	for rank, view := range views {
+		switch {
+		case view.Armed != 0:
+			orders = append(orders, l.order(rank, Disarm, view.Armed, 0))
+		case view.Prepared > l.fence:
+			// Another leader is at work with newer versions.
+			l.fence = l.next(highest(views))
+			l.since = now
+			return nil, Running
+		case view.Prepared != l.fence:
+			orders = append(orders, l.order(rank, Prepare, l.fence, 0))
+		}
+	}
+	if len(orders) > 0 {
+		return orders, Running
 	}
-	if l.out {
-		for _, state := range l.ranks {
-			if state.done < l.step {
-				return Release{}, false
-			}
+	for rank, view := range views {
+		if view.Held {
+			orders = append(orders, l.order(rank, Release, 0, view.HeldPass))
 		}
 	}
-	switch {
-	case l.allHold(l.target):
-		l.current = l.target
-	case !l.allHold(l.current):
-		return Release{}, false
+	if len(orders) > 0 {
+		return orders, Running
+	}
+	l.phase = Idle
+	return nil, Abandoned
+}
+
+// resolve brings to its end what another leader, or this one before it was
+// suspended, has left held or armed.
+func (l *Leader) resolve(views []View, now time.Time) ([]Order, Outcome) {
+	held, armed, pass, version := false, 0, uint64(0), uint64(0)
+	for _, view := range views {
+		if view.Held {
+			held, pass = true, view.HeldPass
+		}
+		if view.Armed != 0 {
+			armed++
+			version = max(version, view.Armed)
+		}
+	}
+	if !held && (armed == 0 || allArmed(views)) {
+		return nil, Running
+	}
+	l.epoch = views[0].Epoch
+	l.version = version
+	if armed == 0 {
+		return l.beginFence(views, now)
+	}
+	if !held {
+		pass = armedPass(views)
+	}
+	l.pass = pass
+	for _, view := range views {
+		forThis := view.Armed == version && view.ArmedPass == pass
+		if !forThis && (view.Armed != 0 || view.Prepared != version) {
+			return l.beginFence(views, now)
+		}
+	}
+	if held {
+		l.enter(Arming, now)
+		return l.arm(views, now)
+	}
+	l.enter(Holding, now)
+	return l.hold(views, now)
+}
+
+// allArmed reports whether all ranks are armed for the same pass and version.
+func allArmed(views []View) bool {
+	for _, view := range views {
+		if view.Armed == 0 || view.Armed != views[0].Armed || view.ArmedPass != views[0].ArmedPass {
+			return false
+		}
+	}
+	return true
+}
+
+func armedPass(views []View) uint64 {
+	for _, view := range views {
+		if view.Armed != 0 {
+			return view.ArmedPass
+		}
 	}
-	l.step = last + 1
-	l.out = true
-	return NewRelease(l.epoch, l.step, l.current), true
+	return 0
 }
