--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -31,10 +31,10 @@
 	halfLife = 600 * time.Millisecond
 	// gainPerCopy is what a copy of an expert must take off the fullest rank's load,
 	// in mean loads: a copy slows all passes a little while it is made.
-	gainPerCopy = 0.004
+	gainPerCopy = 0.025
 	// minGain is the least gain of the fullest ranks' loads over all sets that a
 	// switch is made for.
-	minGain = 0.04
+	minGain = 0.1
 	// minTokens is how many choices of experts must be known before a plan.
 	minTokens = 20000
 	// versionSpread leaves room below each version for a random number, so that no
