internal/rank, pkg/group: a leader whose host freezes leaves no group standing

Change: the hold stands at another rank, given straight by the leader; the leader's own rank is armed last, so that a new leader knows it is unarmed if any other is, and fences the switch without it. A new leader knows the map in use from the orders its agent was given. Of entries at one address the one that started last counts. A refused caller comes back when a group should have formed again.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -29,10 +28,6 @@
 	maxDials = 4
 	// maxUrgency is the least urgent value that an endpoint knows.
 	maxUrgency = 9
-	// backSoon and backLater are when a refused caller may come back: when there is
-	// room again, and when a group of ranks has formed again.
-	backSoon  = 400 * time.Millisecond
-	backLater = 1200 * time.Millisecond
 )
 
 // ending tells how an attempt ended.
@@ -132,11 +127,7 @@
 		r.exchange.Abort()
 		return
 	}
-	back := backSoon
-	if errors.Is(cause, errNone) {
-		back = backLater
-	}
-	r.refuse(&refusal{http.StatusServiceUnavailable, cause.Error(), back + time.Duration(rand.Int64N(int64(back)))/2})
+	r.refuse(&refusal{http.StatusServiceUnavailable, cause.Error(), r.service.back(cause)})
 }
 
 // giveUp ends a request after its last attempt.
@@ -152,7 +143,7 @@
 	case held != nil:
 		r.answer(held.status, "the endpoint answered with an error", held.header, held.body)
 	case !r.ran:
-		r.refuse(&refusal{http.StatusServiceUnavailable, "no endpoint took the request", backSoon})
+		r.refuse(&refusal{http.StatusServiceUnavailable, "no endpoint took the request", r.service.back(errNone)})
 	case ctx.Err() != nil:
 		r.refuse(&refusal{status: http.StatusGatewayTimeout, reason: "no answer came in time; the request may have run"})
 	default:
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -36,6 +37,11 @@
 	agentSilence = 700 * time.Millisecond
 	// waitShare is the share of a route's aim that a request may wait for room.
 	waitShare = 0.25
+	// usualOutage is how long a service is taken to be without endpoints before it
+	// has shown how long that takes: ranks restart and form a group in about that time.
+	usualOutage = 2200 * time.Millisecond
+	// leastBack is the least time after which a refused caller may come back.
+	leastBack = 300 * time.Millisecond
 )
 
 // erredWeight is what an error in an answer counts: services have requests that
@@ -95,6 +101,8 @@
 	evacuated map[string]bool
 	waiting   []*waiter
 	finished  rate
+	closedAt  time.Time
+	outage    time.Duration
 }
 
 // rate counts what happens in a second, smoothed.
@@ -213,6 +221,9 @@
 		extra = engineExtra
 	}
 	at, verdict := pick.Choose(s.loads(tried, now), extra, rand.Uint64())
+	if len(tried) == 0 {
+		s.noteOutage(verdict == pick.None, now)
+	}
 	if verdict != pick.Chosen {
 		return nil, verdict
 	}
@@ -224,6 +235,37 @@
 	return e, pick.Chosen
 }
 
+// noteOutage learns how long the service is without endpoints. The caller holds
+// the lock.
+func (s *service) noteOutage(closed bool, now time.Time) {
+	switch {
+	case closed && s.closedAt.IsZero():
+		s.closedAt = now
+	case !closed && !s.closedAt.IsZero():
+		s.outage = (s.expectedOutage() + now.Sub(s.closedAt)) / 2
+		s.closedAt = time.Time{}
+	}
+}
+
+func (s *service) expectedOutage() time.Duration {
+	if s.outage == 0 {
+		return usualOutage
+	}
+	return s.outage
+}
+
+// back returns when a caller who was refused with cause may come back: when there
+// should be room again, spread so that not all come at once.
+func (s *service) back(cause error) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	back := leastBack
+	if errors.Is(cause, errNone) && !s.closedAt.IsZero() {
+		back = max(back, s.expectedOutage()-time.Since(s.closedAt))
+	}
+	return back + rand.N(leastBack)
+}
+
 // place returns an endpoint for a request, after a wait of at most patience. It
 // refuses at once what would wait longer.
 func (s *service) place(ctx context.Context, tried map[string]bool, priority int, patience time.Duration) (*endpoint, error) {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -106,6 +106,7 @@
 	HoldResolved    = define(7008, "hold_resolved", warn, "A hold or an armed map that no switch accounts for was brought to its end.")
 	RankUnreachable = define(7009, "rank_unreachable", warn, "The replica on this host doesn't answer its agent.")
 	RankReachable   = define(7010, "rank_reachable", info, "The replica on this host answers its agent.")
+	RankOrdered     = define(7012, "rank_ordered", info, "The leader gave an order straight to a rank whose agent is silent.")
 	OrderUnanswered = define(7011, "order_unanswered", info, "An order to the replica on this host got no answer; it may be carried out late.")
 )
 
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -64,6 +64,7 @@
 	expertsIn   uint64
 	seq         uint64
 	orders      orders
+	plans       plans
 
 	lead *lead
 }
@@ -207,11 +208,7 @@
 			a.mu.Unlock()
 		}
 	}
-	message := &wirepb.RankReport{
-		Group: state.Group, Epoch: state.Epoch, Rank: uint32(state.Rank), Size: uint32(state.Size), Open: state.Open,
-		Start: state.Start, Pass: state.Pass, ExpertMap: state.Map, Prepared: state.Prepared, Armed: state.Armed,
-		ArmedPass: state.ArmedPass, Held: state.IsHeld, HeldPass: state.Held, Running: uint32(state.Running),
-	}
+	message := reportOf(state)
 	if withCounts {
 		if counts, _, err := a.rank.Counts(ctx); err == nil {
 			a.mu.Lock()
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -20,7 +20,12 @@
 const (
 	// leadSilence is how long agents of lower ranks must be silent before this one
 	// leads; a leader tells the others each reportPeriod.
-	leadSilence = 700 * time.Millisecond
+	leadSilence = 400 * time.Millisecond
+	// agentSilence is how long an agent may send nothing before its rank is asked
+	// straight, each directPeriod; that is priced, and needed to release ranks that
+	// an agent that died has left held.
+	agentSilence = 350 * time.Millisecond
+	directPeriod = 250 * time.Millisecond
 	// suspendedFor is the difference between the clocks that shows that the process
 	// stood still.
 	suspendedFor = 300 * time.Millisecond
@@ -44,7 +49,7 @@
 
 // lead is an agent's part in leading its group.
 type lead struct {
-	agent *Agent
+	agent    *Agent
 	mu       sync.Mutex
 	follows  netip.AddrPort
 	ownSince time.Time
@@ -66,8 +71,10 @@
 	sent    map[int]sentOrder
 	seen    map[int]uint64
 	starts  map[int]int64
-	// addresses holds where the agents of the ranks reported from.
+	// addresses holds where the agents of the ranks are, and direct the ranks that
+	// are asked and ordered straight, since their agents are silent.
 	addresses map[int]netip.AddrPort
+	direct    map[netip.AddrPort]*directRank
 	skew      float64
 }
 
@@ -144,11 +151,16 @@
 		if now.Sub(l.leaderAt) < wait || now.Sub(l.began) < wait {
 			return
 		}
-		l.begin(state.Size, state.Rank)
+		before := -1
+		if l.follows.IsValid() {
+			before = l.low
+		}
+		l.begin(state.Size, state.Rank, before)
 		event.GroupLed.Log(a.logger, zap.String("group", state.Group), zap.Int("rank", state.Rank), zap.Uint64("epoch", state.Epoch))
 	}
 	a.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Lead{Lead: &wirepb.Lead{Group: state.Group, Rank: uint32(state.Rank)}}},
 		others(agents, a.socket.Address())...)
+	l.askDirectly(agents, now)
 	l.step(now)
 }
 
@@ -186,7 +198,7 @@
 
 // begin makes this agent the leader, which knows nothing yet. The caller holds
 // the lock.
-func (l *lead) begin(size, rank int) {
+func (l *lead) begin(size, rank, before int) {
 	l.leads = true
 	l.views = make([]group.View, size)
 	l.experts = make([][][]int, size)
@@ -194,8 +206,9 @@
 	l.seen = make(map[int]uint64)
 	l.starts = make(map[int]int64)
 	l.addresses = make(map[int]netip.AddrPort)
+	l.direct = make(map[netip.AddrPort]*directRank)
 	l.loads, l.tokens = nil, 0
-	l.machine = group.NewLeader(size, rank, func(above uint64) uint64 {
+	l.machine = group.NewLeader(size, rank, before, func(above uint64) uint64 {
 		return (above/versionSpread+1)*versionSpread + rand.Uint64N(versionSpread)
 	})
 }
@@ -215,7 +228,17 @@
 	if l.starts[rank] == report.GetStart() && report.GetSeq() <= l.seen[rank] && report.GetSeq()+100 > l.seen[rank] {
 		return
 	}
-	l.starts[rank], l.seen[rank], l.addresses[rank] = report.GetStart(), report.GetSeq(), from
+	l.starts[rank], l.seen[rank] = report.GetStart(), report.GetSeq()
+	if direct := l.direct[from]; direct != nil {
+		direct.heard = time.Now()
+	}
+	l.adopt(from, report, shape)
+}
+
+// adopt makes a report the view of its rank. The caller holds the lock.
+func (l *lead) adopt(from netip.AddrPort, report *wirepb.RankReport, shape shape) {
+	rank := int(report.GetRank())
+	l.addresses[rank] = from
 	now := time.Now()
 	l.views[rank] = group.View{
 		Known: true, At: now, Epoch: report.GetEpoch(), Open: report.GetOpen(), Pass: report.GetPass(),
@@ -290,18 +313,36 @@
 	}
 }
 
-// current returns the map in use by set and rank, nil if it isn't known.
+// current returns the map in use by set and rank, nil if it isn't known: as the
+// ranks report it, or as this agent was told to prepare it. The caller holds the
+// lock.
 func (l *lead) current() [][][]int {
-	if len(l.loads) == 0 {
-		return nil
+	a := l.agent
+	a.mu.Lock()
+	sets, told := a.shape.sets, a.plans.find(a.state.Map)
+	if a.state.Map == 0 {
+		told = inTurn(a.shape, a.state.Size)
 	}
-	sets := make([][][]int, len(l.loads))
+	a.mu.Unlock()
+	reported := make([][][]int, sets)
 	for _, lists := range l.experts {
-		if len(lists) != len(sets) {
-			return nil
+		if len(lists) != sets {
+			return told
 		}
 		for set, list := range lists {
-			sets[set] = append(sets[set], list)
+			reported[set] = append(reported[set], list)
+		}
+	}
+	return reported
+}
+
+// inTurn returns the map that ranks begin with.
+func inTurn(shape shape, size int) [][][]int {
+	sets := make([][][]int, shape.sets)
+	for set := range sets {
+		sets[set] = make([][]int, size)
+		for expert := range shape.experts {
+			sets[set][expert%size] = append(sets[set][expert%size], expert)
 		}
 	}
 	return sets
@@ -315,7 +356,7 @@
 	shape := a.shape
 	a.mu.Unlock()
 	current := l.current()
-	if current == nil || l.tokens < minTokens {
+	if current == nil || len(l.loads) != len(current) || l.tokens < minTokens {
 		return
 	}
 	plan := make([][][]int, len(current))
@@ -374,6 +415,11 @@
 			continue
 		}
 		if address, ok := l.addresses[order.Rank]; ok {
+			// A hold that an agent gave would stand if its host failed just then.
+			byLeader := order.Kind == group.Hold || order.Kind == group.Release && l.machine.Phase() == group.Releasing
+			if l.orderDirectly(address, message, byLeader, now) {
+				continue
+			}
 			a.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_RankOrder{RankOrder: message}}, address)
 		}
 	}
--- a/internal/rank/orders.go
+++ b/internal/rank/orders.go
@@ -48,6 +48,9 @@
 		return
 	}
 	a.orders.current = order
+	if order.GetKind() == wirepb.RankOrder_KIND_PREPARE {
+		a.plans.add(order.GetVersion(), bySet(decodeExperts(order.GetExperts()), a.state.Size))
+	}
 	if !a.orders.running {
 		a.orders.running = true
 		go a.work(a.orders.ctx)
@@ -96,7 +99,10 @@
 		if same(order, accepted) {
 			time.Sleep(orderPoll)
 		} else {
-			switch err := a.give(ctx, order); {
+			a.mu.Lock()
+			size := a.state.Size
+			a.mu.Unlock()
+			switch err := give(ctx, a.rank, order, size); {
 			case err == nil:
 				accepted = order
 			case errors.Is(err, platform.ErrNoAnswer):
@@ -112,22 +118,19 @@
 	}
 }
 
-// give gives an order to the rank.
-func (a *Agent) give(ctx context.Context, order *wirepb.RankOrder) error {
+// give gives an order to a rank of a group of size ranks.
+func give(ctx context.Context, rank *platform.Rank, order *wirepb.RankOrder, size int) error {
 	switch order.GetKind() {
 	case wirepb.RankOrder_KIND_PREPARE:
-		a.mu.Lock()
-		size := a.state.Size
-		a.mu.Unlock()
-		return a.rank.Prepare(ctx, order.GetEpoch(), order.GetVersion(), bySet(decodeExperts(order.GetExperts()), size))
+		return rank.Prepare(ctx, order.GetEpoch(), order.GetVersion(), bySet(decodeExperts(order.GetExperts()), size))
 	case wirepb.RankOrder_KIND_ARM:
-		return a.rank.Arm(ctx, order.GetEpoch(), order.GetVersion(), order.GetPass())
+		return rank.Arm(ctx, order.GetEpoch(), order.GetVersion(), order.GetPass())
 	case wirepb.RankOrder_KIND_DISARM:
-		return a.rank.Disarm(ctx, order.GetEpoch(), order.GetVersion())
+		return rank.Disarm(ctx, order.GetEpoch(), order.GetVersion())
 	case wirepb.RankOrder_KIND_HOLD:
-		return a.rank.Hold(ctx, order.GetEpoch(), order.GetPass())
+		return rank.Hold(ctx, order.GetEpoch(), order.GetPass())
 	default:
-		return a.rank.Release(ctx, order.GetEpoch(), order.GetPass())
+		return rank.Release(ctx, order.GetEpoch(), order.GetPass())
 	}
 }
 
@@ -167,3 +170,32 @@
 	}
 	return sets
 }
+
+// plansKept is how many maps an agent remembers: the one in use and what came
+// after it.
+const plansKept = 4
+
+// plans remembers the newest maps that were to be prepared, by version.
+type plans struct {
+	versions []uint64
+	maps     [][][][]int
+}
+
+func (p *plans) add(version uint64, experts [][][]int) {
+	if p.find(version) != nil {
+		return
+	}
+	p.versions, p.maps = append(p.versions, version), append(p.maps, experts)
+	if len(p.versions) > plansKept {
+		p.versions, p.maps = p.versions[1:], p.maps[1:]
+	}
+}
+
+func (p *plans) find(version uint64) [][][]int {
+	for i, known := range p.versions {
+		if known == version {
+			return p.maps[i]
+		}
+	}
+	return nil
+}
--- a/pkg/belief/belief.go
+++ b/pkg/belief/belief.go
@@ -10,6 +10,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -249,6 +250,27 @@
 	}
 }
 
+// latest returns the endpoint that stands at each address. The entry of one that
+// crashed outlives it for a while; the one that started last has its place.
+func (s *State) latest() map[netip.AddrPort]*table.Endpoint {
+	latest := make(map[netip.AddrPort]*table.Endpoint)
+	revisions := make(map[netip.AddrPort]uint64)
+	for _, it := range s.items {
+		endpoint, ok := it.says.(*table.Endpoint)
+		if !ok {
+			continue
+		}
+		address := endpoint.Address()
+		other := latest[address]
+		later := other == nil || endpoint.Start().After(other.Start()) ||
+			(endpoint.Start().Equal(other.Start()) && it.pair.Revision() > revisions[address])
+		if later {
+			latest[address], revisions[address] = endpoint, it.pair.Revision()
+		}
+	}
+	return latest
+}
+
 func (s *State) publish(confirmed time.Time) {
 	p := &Picture{
 		table:     s.table,
@@ -257,9 +279,13 @@
 		revision:  s.revision,
 		confirmed: confirmed,
 	}
+	latest := s.latest()
 	for _, key := range slices.Sorted(maps.Keys(s.items)) {
 		switch says := s.items[key].says.(type) {
 		case *table.Endpoint:
+			if latest[says.Address()] != says {
+				continue
+			}
 			p.endpoints[says.Service()] = append(p.endpoints[says.Service()], says)
 		case table.Evacuation:
 			p.evacuated[says.DataCentre()] = true
--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -97,7 +97,9 @@
 // what the ranks report and returns the orders that are due. Use NewLeader.
 type Leader struct {
 	size    int
+	own     int
 	holder  int
+	before  int
 	phase   Phase
 	epoch   uint64
 	version uint64
@@ -105,14 +107,19 @@
 	pass    uint64
 	since   time.Time
 	slow    bool
+	missing int
 	next    func(above uint64) uint64
 }
 
-// NewLeader returns the leader of a group of size ranks that holds passes at the
-// rank holder. Next returns a new version above another one, unlike any that
-// another leader chooses.
-func NewLeader(size, holder int, next func(above uint64) uint64) *Leader {
-	return &Leader{size: size, holder: holder, next: next}
+// NewLeader returns the leader, beside the rank own, of a group of size ranks.
+// Before is the rank of the leader before, -1 if there is none known. Next returns
+// a new version above another one, unlike any that another leader chooses.
+//
+// Passes are held at another rank than the leader's, and the leader's own rank is
+// armed last: if its host fails, others can still end the hold, and know that its
+// rank is armed only if all are.
+func NewLeader(size, own, before int, next func(above uint64) uint64) *Leader {
+	return &Leader{size: size, own: own, holder: (own + 1) % size, before: before, missing: -1, next: next}
 }
 
 // Phase returns how far the switch has come.
@@ -133,7 +140,7 @@
 // Begin begins a switch to a new version and returns it. It must only be called
 // when CanBegin.
 func (l *Leader) Begin(views []View, now time.Time) uint64 {
-	l.epoch = views[0].Epoch
+	l.epoch, l.missing = views[0].Epoch, -1
 	l.version = l.next(highest(views))
 	l.enter(Preparing, now)
 	return l.version
@@ -175,6 +182,39 @@
 	return true
 }
 
+// onlyMissing reports whether all ranks but one have reported lately, from one
+// open epoch.
+func (l *Leader) onlyMissing(rank int, views []View, now time.Time) bool {
+	if len(views) != l.size || rank == l.own || now.Sub(views[rank].At) <= viewUse && views[rank].Known {
+		return false
+	}
+	for other, view := range views {
+		if other != rank && (!view.Known || !view.Open || now.Sub(view.At) > viewUse || view.Epoch != views[l.own].Epoch) {
+			return false
+		}
+	}
+	return true
+}
+
+// resolveWithout ends the hold of the leader before, whose rank can't be reached
+// with its host. That rank was to be armed last: if any other isn't armed, it
+// isn't either, and the switch can be fenced without it.
+func (l *Leader) resolveWithout(views []View, now time.Time) ([]Order, Outcome) {
+	held, unarmed := false, false
+	for rank, view := range views {
+		if rank != l.before {
+			held = held || view.Held
+			unarmed = unarmed || view.Armed == 0
+		}
+	}
+	if !held || !unarmed {
+		return nil, Running
+	}
+	l.epoch, l.version = views[l.own].Epoch, 0
+	l.missing = l.before
+	return l.beginFence(views, now)
+}
+
 func highest(views []View) uint64 {
 	most := uint64(0)
 	for _, view := range views {
@@ -199,6 +239,12 @@
 		l.phase = Idle
 		return nil, Abandoned
 	}
+	if l.phase == Idle && l.before >= 0 && l.before < len(views) && l.onlyMissing(l.before, views, now) {
+		return l.resolveWithout(views, now)
+	}
+	if l.phase == Fencing && l.missing >= 0 && l.onlyMissing(l.missing, views, now) {
+		return l.fenceOff(views, now)
+	}
 	if !l.complete(views, now) {
 		return nil, Running
 	}
@@ -276,16 +322,22 @@
 // arm has all ranks arm the map, and releases the pass when all are seen armed.
 func (l *Leader) arm(views []View, now time.Time) ([]Order, Outcome) {
 	var orders []Order
+	own := false
 	for rank, view := range views {
 		switch {
 		case view.Armed == l.version && view.ArmedPass == l.pass:
-		case view.Prepared == l.version:
-			orders = append(orders, l.order(rank, Arm, l.version, l.pass))
-		default:
+		case view.Prepared != l.version:
 			// Another leader has replaced the map.
 			return l.beginFence(views, now)
+		case rank == l.own:
+			own = true
+		default:
+			orders = append(orders, l.order(rank, Arm, l.version, l.pass))
 		}
 	}
+	if own && len(orders) == 0 {
+		orders = append(orders, l.order(l.own, Arm, l.version, l.pass))
+	}
 	if len(orders) == 0 {
 		l.slow = now.Sub(l.since) > armBound/4
 		l.enter(Releasing, now)
@@ -341,6 +393,7 @@
 	var orders []Order
 	for rank, view := range views {
 		switch {
+		case rank == l.missing:
 		case view.Armed != 0:
 			orders = append(orders, l.order(rank, Disarm, view.Armed, 0))
 		case view.Prepared > l.fence:
@@ -356,14 +409,14 @@
 		return orders, Running
 	}
 	for rank, view := range views {
-		if view.Held {
+		if view.Held && rank != l.missing {
 			orders = append(orders, l.order(rank, Release, 0, view.HeldPass))
 		}
 	}
 	if len(orders) > 0 {
 		return orders, Running
 	}
-	l.phase = Idle
+	l.phase, l.missing = Idle, -1
 	return nil, Abandoned
 }
 
@@ -383,7 +436,7 @@
 	if !held && (armed == 0 || allArmed(views)) {
 		return nil, Running
 	}
-	l.epoch = views[0].Epoch
+	l.epoch, l.missing = views[0].Epoch, -1
 	l.version = version
 	if armed == 0 {
 		return l.beginFence(views, now)
--- a/pkg/table/endpoint.go
+++ b/pkg/table/endpoint.go
@@ -52,6 +52,9 @@
 // ColdFor returns how long it stays cold, as of when that was written.
 func (e *Endpoint) ColdFor() time.Duration { return e.spec.ColdFor }
 
+// Start returns when it started, zero if unknown.
+func (e *Endpoint) Start() time.Time { return e.spec.Start }
+
 // Incarnation tells starts of an endpoint apart.
 func (e *Endpoint) Incarnation() string {
 	return e.spec.ID + "@" + e.spec.Start.UTC().Format(time.RFC3339Nano)
