internal/edge: callers who come back wait for room, and a rank's refusal counts for its group

Entries sent to ranks of a group that was not formed yet. Change: a returning caller (less patience than usual on its route, or a resumed stream) waits up to 1.5 s for room; others are refused at once with the time at which the group should run again.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -53,7 +53,13 @@
 	e := r.entry
 	allowed := r.allowance()
 	e.budget.request(r.service.name, r.began, allowed)
-	patience := time.Duration(float64(r.route.Aim()) * waitShare)
+	ticket := ticket{
+		priority: r.team.Priority(r.route), returning: e.isReturning(r), tried: r.tried,
+		patience: time.Duration(float64(r.route.Aim()) * waitShare),
+	}
+	if ticket.returning {
+		ticket.patience = min(returningWait, time.Until(r.deadline)/2)
+	}
 	sends, dials := 0, 0
 	var held *wholeAnswer
 	relay := &relay{request: r}
@@ -62,7 +68,7 @@
 			event.RetryDenied.Log(e.logger, zap.String("request", r.call.ID), zap.String("service", r.service.name))
 			break
 		}
-		endpoint, err := r.service.place(ctx, r.tried, r.team.Priority(r.route), patience)
+		endpoint, err := r.service.place(ctx, ticket)
 		if err != nil {
 			if sends == 0 {
 				r.turnAway(ctx, err)
@@ -86,6 +92,9 @@
 			if dials++; dials < maxDials && ctx.Err() == nil {
 				continue
 			}
+		case notRun:
+			r.service.groupRefused(endpoint)
+			sends++
 		default:
 			sends++
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -67,6 +67,7 @@
 
 	mu       sync.Mutex
 	services map[string]*service
+	patience map[string]time.Duration
 
 	callers   *webio.Server
 	readiness *webio.Server
@@ -89,6 +90,7 @@
 		meter:    metrics,
 		store:    platform.NewStore(settings.Store()),
 		services: make(map[string]*service),
+		patience: make(map[string]time.Duration),
 		crashes:  newCrashes(logger),
 		log:      newRequestLog(logger),
 	}
@@ -226,6 +228,20 @@
 	return max(1, t.Service(name).ColdPerSecond()*min(1, factor)/float64(max(1, len(picture.Members()))))
 }
 
+// returningShare is the share of a route's usual patience below which a caller is
+// taken to have spent some of it on an attempt before.
+const returningShare = 0.97
+
+// isReturning reports whether a caller seems to have been refused before: less
+// than the usual time is left to it, or it resumes a stream.
+func (e *Entry) isReturning(r *request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	usual := max(e.patience[r.route.Name()], r.call.Patience)
+	e.patience[r.route.Name()] = usual
+	return r.call.LastEvent != "" || float64(r.call.Patience) < returningShare*float64(usual)
+}
+
 func (e *Entry) allServices() []*service {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -40,6 +40,12 @@
 	// usualOutage is how long a service is taken to be without endpoints before it
 	// has shown how long that takes: ranks restart and form a group in about that time.
 	usualOutage = 2200 * time.Millisecond
+	// returningWait is how long a caller who came back may wait for room: it won't
+	// come again, and gives up a stream that is silent for two seconds.
+	returningWait = 1500 * time.Millisecond
+	// groupRefusal is how long a group's refusal of one request counts for all of its
+	// ranks, which only run together; agents tell sooner when they run again.
+	groupRefusal = 200 * time.Millisecond
 	// leastBack is the least time after which a refused caller may come back.
 	leastBack = 300 * time.Millisecond
 )
@@ -82,10 +88,25 @@
 
 // waiter is a request that waits for room.
 type waiter struct {
+	ticket
+	turn chan *endpoint
+}
+
+// ticket describes a request that wants an endpoint.
+type ticket struct {
 	priority int
-	since    time.Time
-	tried    map[string]bool
-	turn     chan *endpoint
+	// returning callers were refused before and don't come again.
+	returning bool
+	patience  time.Duration
+	tried     map[string]bool
+}
+
+// before reports whether a request goes before another that came earlier.
+func (t ticket) before(other ticket) bool {
+	if t.priority != other.priority {
+		return t.priority < other.priority
+	}
+	return t.returning && !other.returning
 }
 
 // service holds the endpoints of a service and the requests that wait for them.
@@ -101,6 +122,7 @@
 	evacuated map[string]bool
 	waiting   []*waiter
 	finished  rate
+	refusedAt time.Time
 	closedAt  time.Time
 	outage    time.Duration
 }
@@ -220,7 +242,10 @@
 	if s.engine {
 		extra = engineExtra
 	}
-	at, verdict := pick.Choose(s.loads(tried, now), extra, rand.Uint64())
+	at, verdict := -1, pick.None
+	if !s.engine || now.Sub(s.refusedAt) >= groupRefusal {
+		at, verdict = pick.Choose(s.loads(tried, now), extra, rand.Uint64())
+	}
 	if len(tried) == 0 {
 		s.noteOutage(verdict == pick.None, now)
 	}
@@ -266,36 +291,34 @@
 	return back + rand.N(leastBack)
 }
 
-// place returns an endpoint for a request, after a wait of at most patience. It
-// refuses at once what would wait longer.
-func (s *service) place(ctx context.Context, tried map[string]bool, priority int, patience time.Duration) (*endpoint, error) {
+// place returns an endpoint for a request, after a wait of at most the ticket's
+// patience. It refuses at once what would wait longer, and those who can come
+// back when there is no endpoint at all.
+func (s *service) place(ctx context.Context, t ticket) (*endpoint, error) {
 	now := time.Now()
 	s.mu.Lock()
-	if len(s.waiting) == 0 {
-		e, verdict := s.take(tried, now)
-		switch verdict {
-		case pick.Chosen:
-			s.mu.Unlock()
-			return e, nil
-		case pick.None:
-			s.mu.Unlock()
-			return nil, errNone
-		}
-	}
 	ahead := 0
 	for _, w := range s.waiting {
-		if w.priority <= priority {
+		if !t.before(w.ticket) {
 			ahead++
 		}
 	}
-	if s.finished.at(now)*patience.Seconds() < float64(ahead+1) {
+	verdict := pick.Full
+	if ahead == 0 {
+		var e *endpoint
+		if e, verdict = s.take(t.tried, now); verdict == pick.Chosen {
+			s.mu.Unlock()
+			return e, nil
+		}
+	}
+	if reason := s.refuses(t, verdict, ahead, now); reason != nil {
 		s.mu.Unlock()
-		return nil, errFull
+		return nil, reason
 	}
-	w := &waiter{priority: priority, since: now, tried: tried, turn: make(chan *endpoint, 1)}
+	w := &waiter{ticket: t, turn: make(chan *endpoint, 1)}
 	s.waiting = append(s.waiting, w)
 	s.mu.Unlock()
-	timer := time.NewTimer(patience)
+	timer := time.NewTimer(t.patience)
 	defer timer.Stop()
 	select {
 	case e := <-w.turn:
@@ -312,6 +335,22 @@
 	}
 }
 
+// refuses returns why a request had better not wait, nil if it may. The caller
+// holds the lock.
+func (s *service) refuses(t ticket, verdict pick.Verdict, ahead int, now time.Time) error {
+	if verdict == pick.None {
+		reopens := s.closedAt.Add(s.expectedOutage())
+		if !t.returning || s.closedAt.IsZero() || len(t.tried) > 0 || reopens.Sub(now) > t.patience {
+			return errNone
+		}
+		return nil
+	}
+	if s.finished.at(now)*t.patience.Seconds() < float64(ahead+1) {
+		return errFull
+	}
+	return nil
+}
+
 // leave takes a waiter out of the line, unless its turn has just come.
 func (s *service) leave(w *waiter, reason error) (*endpoint, error) {
 	s.mu.Lock()
@@ -329,7 +368,7 @@
 	for len(s.waiting) > 0 {
 		next := 0
 		for i, w := range s.waiting {
-			if w.priority < s.waiting[next].priority {
+			if w.before(s.waiting[next].ticket) {
 				next = i
 			}
 		}
@@ -343,6 +382,16 @@
 	}
 }
 
+// groupRefused takes note that a rank refused a request though it had room: the
+// group doesn't run.
+func (s *service) groupRefused(e *endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.engine && e.mine < e.slots {
+		s.refusedAt = time.Now()
+	}
+}
+
 // release takes note that a request has left an endpoint.
 func (s *service) release(e *endpoint) {
 	s.mu.Lock()
@@ -421,7 +470,11 @@
 			event.AgentHeard.Log(s.logger, zap.String("endpoint", e.spec.ID()))
 		}
 		e.reported, e.mineThen, e.heard = int(load.GetRunning()+load.GetWaiting()), e.mine, now
-		e.closed = !load.GetOpen() || !load.GetReachable()
+		opens := load.GetOpen() && load.GetReachable()
+		if opens && e.closed {
+			s.refusedAt = time.Time{}
+		}
+		e.closed = !opens
 		e.pace = max(1, load.GetPace())
 		s.serveWaiting(now)
 		return true
