--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -278,7 +278,7 @@
 // shape is the shape of the service's expert maps.
 type shape struct {
 	sets, experts, places, spare int
-	copySeconds                  float64
+	pause                        time.Duration
 }
 
 func (a *Agent) subscribe(from netip.AddrPort, asked *wirepb.Subscribe) {
@@ -294,9 +294,7 @@
 	a.agents = agents
 	a.shape = shape{
 		sets: int(asked.GetSets()), experts: int(asked.GetExperts()), places: int(asked.GetPlaces()), spare: int(asked.GetSpare()),
-	}
-	if asked.GetLinkMbps() > 0 {
-		a.shape.copySeconds = asked.GetExpertMb() * 8 / asked.GetLinkMbps()
+		pause: time.Duration(asked.GetPauseMs()) * time.Millisecond,
 	}
 }
 
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -35,10 +35,16 @@
 	// seconds, and some hundred requests make their counts steady enough.
 	halfLife = 600 * time.Millisecond
 	// gainPerCopy is what a copy of an expert must take off the fullest rank's load,
-	// in mean loads: a copy slows all passes a little while it is made.
-	gainPerCopy = 0.025
+	// in mean loads, when passes take comfortablePass of the pause that streams aim
+	// at; the longer passes take, the more a gain is worth. A copy is priced, and
+	// slows all passes a little while it is made.
+	gainPerCopy     = 0.04
+	comfortablePass = 0.5
+	// leastPrice and mostPrice bound the factor on gainPerCopy.
+	leastPrice = 0.4
+	mostPrice  = 6
 	// minGain is the least gain of the fullest ranks' loads over all sets that a
-	// switch is made for.
+	// switch is made for, at the usual price.
 	minGain = 0.1
 	// minTokens is how many choices of experts must be known before a plan.
 	minTokens = 20000
@@ -76,6 +82,10 @@
 	addresses map[int]netip.AddrPort
 	direct    map[netip.AddrPort]*directRank
 	skew      float64
+	// passTime is how long a pass takes.
+	passTime  time.Duration
+	timedPass uint64
+	timedAt   time.Time
 }
 
 // sentOrder is an order as it was last sent to a rank.
@@ -232,6 +242,9 @@
 	if direct := l.direct[from]; direct != nil {
 		direct.heard = time.Now()
 	}
+	if rank == state.Rank {
+		l.timePasses(report.GetPass(), time.Now())
+	}
 	l.adopt(from, report, shape)
 }
 
@@ -348,6 +361,33 @@
 	return sets
 }
 
+// price returns the factor on what a copy must gain, by how long passes take. The
+// caller holds the lock.
+func (l *lead) price(shape shape) float64 {
+	if shape.pause == 0 || l.passTime == 0 {
+		return 1
+	}
+	factor := comfortablePass * float64(shape.pause) / float64(l.passTime)
+	return min(mostPrice, max(leastPrice, factor*factor))
+}
+
+// timePasses takes note of how long passes take, by a report of the leader's own
+// rank. The caller holds the lock.
+func (l *lead) timePasses(pass uint64, now time.Time) {
+	passes, span := pass-l.timedPass, now.Sub(l.timedAt)
+	if pass < l.timedPass || span > passWindow*4 {
+		l.timedPass, l.timedAt = pass, now
+		return
+	}
+	if span >= passWindow && passes > 0 {
+		l.passTime = (l.passTime + span/time.Duration(passes)) / 2
+		l.timedPass, l.timedAt = pass, now
+	}
+}
+
+// passWindow is the span over which passes are timed.
+const passWindow = 400 * time.Millisecond
+
 // replan looks for a better map and begins to switch to it. The caller holds the
 // lock.
 func (l *lead) replan(now time.Time) {
@@ -359,12 +399,13 @@
 	if current == nil || len(l.loads) != len(current) || l.tokens < minTokens {
 		return
 	}
+	price := l.price(shape)
 	plan := make([][][]int, len(current))
 	before, after, copies := 0.0, 0.0, 0
 	for set, ranks := range current {
 		m := place.FromRanks(ranks, shape.experts)
 		next, loaded := place.Rebalance(m, l.loads[set], place.Bounds{
-			Places: shape.places, NewPerRank: shape.spare, PerCopy: gainPerCopy,
+			Places: shape.places, NewPerRank: shape.spare, PerCopy: gainPerCopy * price,
 		})
 		before += m.Skew(l.loads[set]) / float64(len(current))
 		after += next.Skew(l.loads[set]) / float64(len(current))
@@ -372,13 +413,13 @@
 		plan[set] = next.Ranks()
 	}
 	l.skew = before
-	if before-after < minGain {
+	if before-after < minGain*price {
 		return
 	}
 	l.plan = plan
 	version := l.machine.Begin(l.views, now)
 	event.SwitchPlanned.Log(a.logger, zap.Uint64("version", version), zap.Float64("skew", before), zap.Float64("expected", after),
-		zap.Int("copies", copies), zap.Uint64("pass", l.views[0].Pass))
+		zap.Int("copies", copies), zap.Duration("pass_time", l.passTime), zap.Uint64("pass", l.views[0].Pass))
 	orders, _ := l.machine.Step(l.views, now)
 	l.send(orders, now)
 }
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -275,6 +275,21 @@
 	}
 }
 
+// ShortestPause returns the shortest pause between events that the streams of a
+// service aim at, zero if none does.
+func (t *Table) ShortestPause(service string) time.Duration {
+	shortest := time.Duration(0)
+	for _, routes := range t.byHost {
+		for _, route := range routes {
+			serves := slices.ContainsFunc(route.spec.Splits, func(s Split) bool { return s.service == service })
+			if aim := route.GapAim(); serves && aim > 0 && (shortest == 0 || aim < shortest) {
+				shortest = aim
+			}
+		}
+	}
+	return shortest
+}
+
 // Team returns the team that holds key.
 func (t *Table) Team(key string) (Team, bool) {
 	team, ok := t.teams[key]
