pkg/group: random walks over the switch of maps found two faults; the rank armed last follows from the hold

Cause: walks with late, lost and doubled orders, hosts that stand still, new epochs and leaders in a row found two ways to two maps in one pass: in a group of two a leader that hears only itself took the other for dead; and a rank armed by an earlier leader was taken for unarmed, since the leader before last had placed the hold. Change: the rank before the one that holds is armed last, whoever leads; it alone can be done without, in groups of three or more; a new leader first listens until what others believe is too old to decide by (350 ms).

--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -218,8 +218,9 @@
 			Local:    e.spec.DataCentre() == s.own,
 			Closed:   e.draining || s.evacuated[e.spec.DataCentre()] || (e.closed && !silent),
 			Spent:    perSecond > 0 && now.Before(e.coldUntil) && e.sentWithin(now, time.Second) >= perSecond,
-			Shunned:  e.shunned,
-			Tried:    tried[e.spec.ID()],
+			// A host that stands still takes its agent along.
+			Shunned: e.shunned || silent,
+			Tried:   tried[e.spec.ID()],
 		}
 	}
 	return loads
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -161,11 +161,7 @@
 		if now.Sub(l.leaderAt) < wait || now.Sub(l.began) < wait {
 			return
 		}
-		before := -1
-		if l.follows.IsValid() {
-			before = l.low
-		}
-		l.begin(state.Size, state.Rank, before)
+		l.begin(state.Size, state.Rank)
 		event.GroupLed.Log(a.logger, zap.String("group", state.Group), zap.Int("rank", state.Rank), zap.Uint64("epoch", state.Epoch))
 	}
 	a.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Lead{Lead: &wirepb.Lead{Group: state.Group, Rank: uint32(state.Rank)}}},
@@ -208,7 +204,7 @@
 
 // begin makes this agent the leader, which knows nothing yet. The caller holds
 // the lock.
-func (l *lead) begin(size, rank, before int) {
+func (l *lead) begin(size, rank int) {
 	l.leads = true
 	l.views = make([]group.View, size)
 	l.experts = make([][][]int, size)
@@ -218,7 +214,7 @@
 	l.addresses = make(map[int]netip.AddrPort)
 	l.direct = make(map[netip.AddrPort]*directRank)
 	l.loads, l.tokens = nil, 0
-	l.machine = group.NewLeader(size, rank, before, func(above uint64) uint64 {
+	l.machine = group.NewLeader(size, rank, func(above uint64) uint64 {
 		return (above/versionSpread+1)*versionSpread + rand.Uint64N(versionSpread)
 	})
 }
--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -66,7 +66,10 @@
 // Bounds of a switch.
 const (
 	// viewUse is how old a report may be to decide by; agents report each 100 ms.
-	viewUse = 500 * time.Millisecond
+	viewUse = 350 * time.Millisecond
+	// newcomerWait is how long a new leader only listens: by then all that a leader
+	// before it believes is too old for it to decide by.
+	newcomerWait = viewUse + 50*time.Millisecond
 	// prepareBound, holdBound and armBound bound the phases. Copies take some hundred
 	// milliseconds, and an order that is lost is given again after 150 ms; while
 	// ranks are armed the group may have to wait, so that phase is short.
@@ -99,7 +102,6 @@
 	size    int
 	own     int
 	holder  int
-	before  int
 	phase   Phase
 	epoch   uint64
 	version uint64
@@ -107,21 +109,26 @@
 	pass    uint64
 	since   time.Time
 	slow    bool
+	began   time.Time
 	missing int
 	next    func(above uint64) uint64
 }
 
 // NewLeader returns the leader, beside the rank own, of a group of size ranks.
-// Before is the rank of the leader before, -1 if there is none known. Next returns
-// a new version above another one, unlike any that another leader chooses.
+// Next returns a new version above another one, unlike any that another leader
+// chooses.
 //
-// Passes are held at another rank than the leader's, and the leader's own rank is
-// armed last: if its host fails, others can still end the hold, and know that its
-// rank is armed only if all are.
-func NewLeader(size, own, before int, next func(above uint64) uint64) *Leader {
-	return &Leader{size: size, own: own, holder: (own + 1) % size, before: before, missing: -1, next: next}
+// A leader holds passes at the rank after its own. The rank before the one that
+// holds is always armed last, whoever leads by then: if the leader's host fails,
+// others can still end the hold, and know that its rank is armed only if all are.
+func NewLeader(size, own int, next func(above uint64) uint64) *Leader {
+	return &Leader{size: size, own: own, holder: (own + 1) % size, missing: -1, next: next}
 }
 
+// armedLast returns the rank that is armed after all others when rank holder
+// holds the pass.
+func (l *Leader) armedLast(holder int) int { return (holder + l.size - 1) % l.size }
+
 // Phase returns how far the switch has come.
 func (l *Leader) Phase() Phase { return l.phase }
 
@@ -141,6 +148,7 @@
 // when CanBegin.
 func (l *Leader) Begin(views []View, now time.Time) uint64 {
 	l.epoch, l.missing = views[0].Epoch, -1
+	l.holder = (l.own + 1) % l.size
 	l.version = l.next(highest(views))
 	l.enter(Preparing, now)
 	return l.version
@@ -149,7 +157,7 @@
 // CanBegin reports whether a switch may begin: the group is open, all ranks have
 // reported lately, use one map and have nothing armed or held.
 func (l *Leader) CanBegin(views []View, now time.Time) bool {
-	if l.phase != Idle || !l.complete(views, now) {
+	if l.phase != Idle || l.began.IsZero() || now.Sub(l.began) < newcomerWait || !l.complete(views, now) {
 		return false
 	}
 	for _, view := range views {
@@ -162,7 +170,7 @@
 
 // Reset forgets what the leader was about to do, as when it was suspended: what
 // it believed of the ranks may be old. What is held or armed is found again.
-func (l *Leader) Reset() { l.phase = Idle }
+func (l *Leader) Reset() { l.phase, l.began = Idle, time.Time{} }
 
 func (l *Leader) enter(phase Phase, now time.Time) {
 	l.phase = phase
@@ -182,10 +190,14 @@
 	return true
 }
 
+// leastGroup is the size from which on a rank can be done without: in a group of
+// two, a leader that hears only itself knows nothing of who else leads.
+const leastGroup = 3
+
 // onlyMissing reports whether all ranks but one have reported lately, from one
 // open epoch.
 func (l *Leader) onlyMissing(rank int, views []View, now time.Time) bool {
-	if len(views) != l.size || rank == l.own || now.Sub(views[rank].At) <= viewUse && views[rank].Known {
+	if len(views) != l.size || l.size < leastGroup || rank == l.own || now.Sub(views[rank].At) <= viewUse && views[rank].Known {
 		return false
 	}
 	for other, view := range views {
@@ -196,22 +208,29 @@
 	return true
 }
 
-// resolveWithout ends the hold of the leader before, whose rank can't be reached
-// with its host. That rank was to be armed last: if any other isn't armed, it
-// isn't either, and the switch can be fenced without it.
-func (l *Leader) resolveWithout(views []View, now time.Time) ([]Order, Outcome) {
-	held, unarmed := false, false
+// holding returns the rank that is seen to hold a pass.
+func holding(views []View) (rank int, held bool) {
 	for rank, view := range views {
-		if rank != l.before {
-			held = held || view.Held
-			unarmed = unarmed || view.Armed == 0
+		if view.Known && view.Held {
+			return rank, true
 		}
 	}
-	if !held || !unarmed {
+	return 0, false
+}
+
+// resolveWithout ends the hold of a leader whose rank can't be reached with its
+// host. That rank is armed last: if any other isn't armed, it isn't either, and
+// the switch can be fenced without it.
+func (l *Leader) resolveWithout(rank int, views []View, now time.Time) ([]Order, Outcome) {
+	unarmed := false
+	for other, view := range views {
+		unarmed = unarmed || (other != rank && view.Armed == 0)
+	}
+	if !unarmed {
 		return nil, Running
 	}
 	l.epoch, l.version = views[l.own].Epoch, 0
-	l.missing = l.before
+	l.missing = rank
 	return l.beginFence(views, now)
 }
 
@@ -234,13 +253,19 @@
 // Step takes the ranks' views and returns the orders that are due now, and how a
 // switch ended if one did.
 func (l *Leader) Step(views []View, now time.Time) ([]Order, Outcome) {
+	if l.began.IsZero() {
+		l.began = now
+	}
+	if now.Sub(l.began) < newcomerWait {
+		return nil, Running
+	}
 	if l.phase != Idle && l.changedEpoch(views) {
 		// The group formed anew, with the first map and nothing armed or held.
 		l.phase = Idle
 		return nil, Abandoned
 	}
-	if l.phase == Idle && l.before >= 0 && l.before < len(views) && l.onlyMissing(l.before, views, now) {
-		return l.resolveWithout(views, now)
+	if holder, held := holding(views); l.phase == Idle && held && l.onlyMissing(l.armedLast(holder), views, now) {
+		return l.resolveWithout(l.armedLast(holder), views, now)
 	}
 	if l.phase == Fencing && l.missing >= 0 && l.onlyMissing(l.missing, views, now) {
 		return l.fenceOff(views, now)
@@ -322,21 +347,24 @@
 // arm has all ranks arm the map, and releases the pass when all are seen armed.
 func (l *Leader) arm(views []View, now time.Time) ([]Order, Outcome) {
 	var orders []Order
-	own := false
+	last, lastDue := l.own, false
+	if holder, held := holding(views); held {
+		last = l.armedLast(holder)
+	}
 	for rank, view := range views {
 		switch {
 		case view.Armed == l.version && view.ArmedPass == l.pass:
 		case view.Prepared != l.version:
 			// Another leader has replaced the map.
 			return l.beginFence(views, now)
-		case rank == l.own:
-			own = true
+		case rank == last:
+			lastDue = true
 		default:
 			orders = append(orders, l.order(rank, Arm, l.version, l.pass))
 		}
 	}
-	if own && len(orders) == 0 {
-		orders = append(orders, l.order(l.own, Arm, l.version, l.pass))
+	if lastDue && len(orders) == 0 {
+		orders = append(orders, l.order(last, Arm, l.version, l.pass))
 	}
 	if len(orders) == 0 {
 		l.slow = now.Sub(l.since) > armBound/4
@@ -455,6 +483,11 @@
 		l.enter(Arming, now)
 		return l.arm(views, now)
 	}
+	for rank, view := range views {
+		if view.Armed == 0 {
+			l.holder = (rank + 1) % l.size
+		}
+	}
 	l.enter(Holding, now)
 	return l.hold(views, now)
 }
