--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -36,8 +36,11 @@
 	// unreachableAfter is how long the rank may fail to answer before entries are
 	// told so.
 	unreachableAfter = 300 * time.Millisecond
-	// countTicks is how many reports there are for each that counts experts.
+	// countTicks is how many reports there are for each that may count experts.
 	countTicks = 2
+	// countBytesPerSecond bounds what a leader is told of counts: an eighth of the
+	// slowest link of a rank's host, 8 Mbit/s. In large groups ranks take turns.
+	countBytesPerSecond = 125_000
 )
 
 // Agent stands beside one rank. Use New.
@@ -141,11 +144,47 @@
 		}
 		a.look(ctx)
 		a.tellEntries()
-		a.report(ctx, tick%countTicks == 0)
+		a.report(ctx, a.counting(tick))
 		a.lead.tick(time.Now())
 	}
 }
 
+// turn says what a rank does of counting in one period.
+type turn int
+
+const (
+	// rest says that other ranks count.
+	rest turn = iota
+	// begin says that the counts are looked at, to count from here on.
+	begin
+	// tell says that what was counted is told.
+	tell
+)
+
+// counting returns what is due at a tick: in large groups each rank counts for one
+// period of several.
+func (a *Agent) counting(tick int) turn {
+	if tick%countTicks != 0 {
+		return rest
+	}
+	a.mu.Lock()
+	size, numbers, rank := a.state.Size, a.shape.sets*a.shape.experts, a.state.Rank
+	a.mu.Unlock()
+	period := (countTicks * reportPeriod).Seconds()
+	turns := int(float64(size*numbers) / (countBytesPerSecond * period))
+	if turns <= 1 {
+		return tell
+	}
+	switch (tick/countTicks + rank) % (turns + 1) {
+	case 0:
+		return begin
+	case 1:
+		return tell
+	default:
+		return rest
+	}
+}
+
 // look reads the rank's state.
 func (a *Agent) look(ctx context.Context) {
 	state, err := a.rank.State(ctx)
@@ -193,7 +232,7 @@
 }
 
 // report tells the group's leader what the rank does.
-func (a *Agent) report(ctx context.Context, withCounts bool) {
+func (a *Agent) report(ctx context.Context, counting turn) {
 	a.mu.Lock()
 	state, stale := a.state, time.Since(a.answered) > unreachableAfter
 	knowsExperts := a.expertsMap == state.Map && a.expertsIn == state.Epoch && a.experts != nil
@@ -209,12 +248,14 @@
 		}
 	}
 	message := reportOf(state)
-	if withCounts {
+	if counting != rest {
 		if counts, _, err := a.rank.Counts(ctx); err == nil {
 			a.mu.Lock()
 			added, span := a.counts.since(counts, state.Start, time.Now())
 			a.mu.Unlock()
-			message.Counts, message.SpanMs = added, uint32(span.Milliseconds())
+			if counting == tell {
+				message.Counts, message.SpanMs = added, uint32(span.Milliseconds())
+			}
 		}
 	}
 	a.mu.Lock()
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -357,6 +357,18 @@
 	return sets
 }
 
+// worthPlanning reports whether the fullest ranks are so far over the mean that a
+// plan may gain enough; that costs far less than to plan. The caller holds the
+// lock.
+func (l *lead) worthPlanning(current [][][]int, shape shape, gain float64) bool {
+	sum := 0.0
+	for set, ranks := range current {
+		sum += place.FromRanks(ranks, shape.experts).Skew(l.loads[set])
+	}
+	l.skew = sum / float64(len(current))
+	return l.skew-1 >= gain
+}
+
 // price returns the factor on what a copy must gain, by how long passes take. The
 // caller holds the lock.
 func (l *lead) price(shape shape) float64 {
@@ -396,6 +408,9 @@
 		return
 	}
 	price := l.price(shape)
+	if !l.worthPlanning(current, shape, minGain*price) {
+		return
+	}
 	plan := make([][][]int, len(current))
 	before, after, copies := 0.0, 0.0, 0
 	for set, ranks := range current {
@@ -408,7 +423,6 @@
 		copies += loaded
 		plan[set] = next.Ranks()
 	}
-	l.skew = before
 	if before-after < minGain*price {
 		return
 	}
@@ -429,7 +443,11 @@
 	a.mu.Unlock()
 	var experts []uint32
 	for _, order := range orders {
-		if last := l.sent[order.Rank]; last.order == order && now.Sub(last.at) < orderRefresh {
+		refresh := orderRefresh
+		if order.Kind == group.Prepare {
+			refresh = prepareRefresh
+		}
+		if last := l.sent[order.Rank]; last.order == order && now.Sub(last.at) < refresh {
 			continue
 		}
 		message := &wirepb.RankOrder{
--- a/internal/rank/orders.go
+++ b/internal/rank/orders.go
@@ -18,6 +18,10 @@
 	// what it wants again each orderRefresh.
 	orderKept    = 400 * time.Millisecond
 	orderRefresh = 100 * time.Millisecond
+	// prepareKept and prepareRefresh are the same for orders that carry a whole map:
+	// copies take some hundred milliseconds, and a map is some kilobytes.
+	prepareKept    = 1500 * time.Millisecond
+	prepareRefresh = 600 * time.Millisecond
 	// orderPoll is how often the rank is looked at while it copies experts.
 	orderPoll = 25 * time.Millisecond
 )
@@ -63,7 +67,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	order := a.orders.current
-	if order == nil || time.Since(a.orders.given) > orderKept || achieved(order, a.state) || order.GetEpoch() != a.state.Epoch {
+	kept := orderKept
+	if order.GetKind() == wirepb.RankOrder_KIND_PREPARE {
+		kept = prepareKept
+	}
+	if order == nil || time.Since(a.orders.given) > kept || achieved(order, a.state) || order.GetEpoch() != a.state.Epoch {
 		a.orders.current, a.orders.running = nil, false
 		return nil
 	}
@@ -114,7 +122,7 @@
 			}
 		}
 		a.look(ctx)
-		a.report(ctx, false)
+		a.report(ctx, rest)
 	}
 }
 
--- a/pkg/place/rebalance.go
+++ b/pkg/place/rebalance.go
@@ -1,6 +1,9 @@
 package place
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Bounds bounds one rebalancing of a map.
 type Bounds struct {
@@ -70,6 +73,7 @@
 	powers  []float64
 	delta   []float64
 	touched []int
+	order   []int
 }
 
 // swap is one change: the rank to gets the expert add in place of drop, and the
@@ -136,10 +140,8 @@
 			consider(swap{from: full, to: -1, add: expert, drop: noExpert, give: true})
 		}
 	}
-	for to, held := range r.m.ranks {
-		if to == full {
-			continue
-		}
+	for _, to := range r.receivers(full) {
+		held := r.m.ranks[to]
 		toHasRoom := r.newOn(to) < r.bounds.NewPerRank
 		for _, add := range r.m.ranks[full] {
 			if slices.Contains(held, add) || !(toHasRoom || slices.Contains(r.before.ranks[to], add)) {
@@ -163,6 +165,25 @@
 	return chosen, most < -epsilon
 }
 
+// maxReceivers bounds the ranks that a change may load: of many ranks the least
+// loaded ones serve as well as all, at a fraction of the time.
+const maxReceivers = 14
+
+// receivers returns the ranks that may take load from the fullest one.
+func (r *rebalance) receivers(full int) []int {
+	r.order = r.order[:0]
+	for rank := range r.loads {
+		if rank != full {
+			r.order = append(r.order, rank)
+		}
+	}
+	if len(r.order) > maxReceivers {
+		slices.SortFunc(r.order, func(a, b int) int { return cmp.Or(cmp.Compare(r.loads[a], r.loads[b]), a-b) })
+		r.order = r.order[:maxReceivers]
+	}
+	return r.order
+}
+
 func (r *rebalance) shift(rank int, load float64) {
 	if r.delta[rank] == 0 && !slices.Contains(r.touched, rank) {
 		r.touched = append(r.touched, rank)
