internal/rank: maps travel as changes

Cause: a switch took 3 s at 63 ranks: the whole map to each agent (280 KB at 8 Mbit/s) overflowed the leader's link.

--- a/internal/rank/direct.go
+++ b/internal/rank/direct.go
@@ -70,9 +70,9 @@
 		return false
 	}
 	a := l.agent
-	size := len(l.views)
+	plan := l.plan
 	go func() {
-		err := give(a.orders.ctx, direct.rank, order, size)
+		err := give(a.orders.ctx, direct.rank, order, plan)
 		if err != nil || !must {
 			event.RankOrdered.Log(a.logger, zap.Stringer("agent", agent), zap.Stringer("kind", order.GetKind()),
 				zap.Uint64("version", order.GetVersion()), zap.Uint64("pass", order.GetPass()), event.Error(err))
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -74,9 +74,12 @@
 	tokens  float64
 	planned time.Time
 	plan    [][][]int
-	sent    map[int]sentOrder
-	seen    map[int]uint64
-	starts  map[int]int64
+	// base is the map that plan replaces, nil if agents may not know it.
+	base        [][][]int
+	baseVersion uint64
+	sent        map[int]sentOrder
+	seen        map[int]uint64
+	starts      map[int]int64
 	// addresses holds where the agents of the ranks are, and direct the ranks that
 	// are asked and ordered straight, since their agents are silent.
 	addresses map[int]netip.AddrPort
@@ -313,7 +316,7 @@
 		event.SwitchArmed.Log(a.logger, zap.Uint64("version", version))
 	}
 	if l.machine.IsFence() {
-		l.plan = l.current()
+		l.plan, l.base = l.current(), nil
 	}
 	l.send(orders, now)
 	if now.Sub(l.planned) >= planPeriod && l.machine.CanBegin(l.views, now) {
@@ -426,7 +429,7 @@
 	if before-after < minGain*price {
 		return
 	}
-	l.plan = plan
+	l.plan, l.base, l.baseVersion = plan, current, l.views[0].Map
 	version := l.machine.Begin(l.views, now)
 	event.SwitchPlanned.Log(a.logger, zap.Uint64("version", version), zap.Float64("skew", before), zap.Float64("expected", after),
 		zap.Int("copies", copies), zap.Duration("pass_time", l.passTime), zap.Uint64("pass", l.views[0].Pass))
@@ -434,6 +437,14 @@
 	l.send(orders, now)
 }
 
+func encodePlan(plan [][][]int) []uint32 {
+	var experts []uint32
+	for _, ranks := range plan {
+		experts = append(experts, encodeExperts(ranks)...)
+	}
+	return experts
+}
+
 // send gives orders to the agents of the ranks, not more often than they need.
 // The caller holds the lock.
 func (l *lead) send(orders []group.Order, now time.Time) {
@@ -441,7 +452,7 @@
 	a.mu.Lock()
 	state := a.state
 	a.mu.Unlock()
-	var experts []uint32
+	var experts, changes []uint32
 	for _, order := range orders {
 		refresh := orderRefresh
 		if order.Kind == group.Prepare {
@@ -457,12 +468,18 @@
 			if l.plan == nil {
 				continue
 			}
-			if experts == nil {
-				for _, ranks := range l.plan {
-					experts = append(experts, encodeExperts(ranks)...)
+			// Whoever doesn't know the map in use gets the whole new one next time.
+			if again := l.sent[order.Rank].order == order; again || l.base == nil {
+				if experts == nil {
+					experts = encodePlan(l.plan)
+				}
+				message.Experts = experts
+			} else {
+				if changes == nil {
+					changes = encodeChanges(l.base, l.plan)
 				}
+				message.Changes, message.Base = changes, l.baseVersion
 			}
-			message.Experts = experts
 		}
 		l.sent[order.Rank] = sentOrder{order: order, at: now}
 		if order.Rank == state.Rank {
--- a/internal/rank/orders.go
+++ b/internal/rank/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,10 +52,11 @@
 	if same(a.orders.current, order) && a.orders.running {
 		return
 	}
-	a.orders.current = order
-	if order.GetKind() == wirepb.RankOrder_KIND_PREPARE {
-		a.plans.add(order.GetVersion(), bySet(decodeExperts(order.GetExperts()), a.state.Size))
+	if order.GetKind() == wirepb.RankOrder_KIND_PREPARE && !a.learnPlan(order) {
+		// The leader sends the whole map next time.
+		return
 	}
+	a.orders.current = order
 	if !a.orders.running {
 		a.orders.running = true
 		go a.work(a.orders.ctx)
@@ -108,9 +110,9 @@
 			time.Sleep(orderPoll)
 		} else {
 			a.mu.Lock()
-			size := a.state.Size
+			plan := a.plans.find(order.GetVersion())
 			a.mu.Unlock()
-			switch err := give(ctx, a.rank, order, size); {
+			switch err := give(ctx, a.rank, order, plan); {
 			case err == nil:
 				accepted = order
 			case errors.Is(err, platform.ErrNoAnswer):
@@ -126,11 +128,11 @@
 	}
 }
 
-// give gives an order to a rank of a group of size ranks.
-func give(ctx context.Context, rank *platform.Rank, order *wirepb.RankOrder, size int) error {
+// give gives an order to a rank, for Prepare with the map by set and rank.
+func give(ctx context.Context, rank *platform.Rank, order *wirepb.RankOrder, plan [][][]int) error {
 	switch order.GetKind() {
 	case wirepb.RankOrder_KIND_PREPARE:
-		return rank.Prepare(ctx, order.GetEpoch(), order.GetVersion(), bySet(decodeExperts(order.GetExperts()), size))
+		return rank.Prepare(ctx, order.GetEpoch(), order.GetVersion(), plan)
 	case wirepb.RankOrder_KIND_ARM:
 		return rank.Arm(ctx, order.GetEpoch(), order.GetVersion(), order.GetPass())
 	case wirepb.RankOrder_KIND_DISARM:
@@ -179,6 +181,59 @@
 	return sets
 }
 
+// learnPlan remembers the map of an order, and reports whether it is known then.
+// The caller holds the lock.
+func (a *Agent) learnPlan(order *wirepb.RankOrder) bool {
+	if a.plans.find(order.GetVersion()) != nil {
+		return true
+	}
+	plan := bySet(decodeExperts(order.GetExperts()), a.state.Size)
+	if len(order.GetExperts()) == 0 {
+		base := a.plans.find(order.GetBase())
+		if order.GetBase() == 0 {
+			base = inTurn(a.shape, a.state.Size)
+		}
+		plan = applyChanges(base, order.GetChanges())
+	}
+	if len(plan) == 0 {
+		return false
+	}
+	a.plans.add(order.GetVersion(), plan)
+	return true
+}
+
+// encodeChanges writes the lists of plan that differ from those of base.
+func encodeChanges(base, plan [][][]int) []uint32 {
+	var changes []uint32
+	for set := range plan {
+		for rank, list := range plan[set] {
+			if !slices.Equal(base[set][rank], list) {
+				changes = append(changes, uint32(set), uint32(rank))
+				changes = append(changes, encodeExperts([][]int{list})...)
+			}
+		}
+	}
+	return changes
+}
+
+// applyChanges returns base with the changed lists, nil if they don't fit.
+func applyChanges(base [][][]int, changes []uint32) [][][]int {
+	plan := make([][][]int, len(base))
+	for set := range base {
+		plan[set] = slices.Clone(base[set])
+	}
+	for len(changes) >= 3 {
+		set, rank := int(changes[0]), int(changes[1])
+		end := slices.Index(changes[2:], 0)
+		if set >= len(plan) || rank >= len(plan[set]) || end < 0 {
+			return nil
+		}
+		plan[set][rank] = decodeExperts(changes[2 : 2+end+1])[0]
+		changes = changes[2+end+1:]
+	}
+	return plan
+}
+
 // plansKept is how many maps an agent remembers: the one in use and what came
 // after it.
 const plansKept = 4
