internal/edge: entries of a large fleet rely on six that watch the store

Who hears of no watcher for a second watches itself. A watch that showed changes rests 250 ms, so that those that follow come with one call.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
@@ -20,6 +21,18 @@
 const (
 	// watchWait is how long one watch waits.
 	watchWait = 4 * time.Second
+	// relayWait is the same in a large fleet, where others rely on few that watch.
+	relayWait = 2 * time.Second
+	// coalesce is the pause after a watch that showed changes: others that follow
+	// closely come with the next call.
+	coalesce = 250 * time.Millisecond
+	// maxWatchers is up to how many members all watch the store. In a larger fleet
+	// relayWatchers of them do, and tell the others.
+	maxWatchers   = 8
+	relayWatchers = 6
+	// relaySilence is how long an entry that doesn't watch may hear of none that does
+	// before it watches for itself.
+	relaySilence = time.Second
 	// storePause is the pause after a call that failed.
 	storePause = 300 * time.Millisecond
 	// gapAfter is the time without a successful call after which entries may have
@@ -60,10 +73,14 @@
 	fresh := false
 	for ctx.Err() == nil {
 		var err error
-		if !fresh {
+		switch {
+		case !fresh:
 			err = f.readAll(ctx)
 			fresh = err == nil
-		} else {
+		case !f.watches():
+			pause(ctx, helloPeriod)
+			continue
+		default:
 			err = f.watch(ctx)
 			if eris.Is(err, platform.ErrHistoryGone) {
 				fresh = false
@@ -78,6 +95,24 @@
 	}
 }
 
+// watches reports whether this entry watches the store itself: in a small fleet
+// all do, in a large one those whose names hash lowest, and whoever hears of none
+// that does.
+func (f *follower) watches() bool {
+	members := f.entry.picture.Load().Members()
+	if len(members) <= maxWatchers || f.entry.peers.sinceRelay() > relaySilence {
+		return true
+	}
+	own := xxhash.Sum64String(f.entry.settings.Load().Name())
+	before := 0
+	for _, member := range members {
+		if xxhash.Sum64String(member.Name()) < own {
+			before++
+		}
+	}
+	return before < relayWatchers
+}
+
 // readAll reads everything and replaces the picture.
 func (f *follower) readAll(ctx context.Context) error {
 	snapshot, err := f.entry.store.Read(ctx, everything)
@@ -115,7 +150,14 @@
 	after := f.state.Revision()
 	f.cutWatch = cancel
 	f.mu.Unlock()
-	changes, revision, err := f.entry.store.Watch(ctx, everything, after, watchWait)
+	wait := watchWait
+	if len(f.entry.picture.Load().Members()) > maxWatchers {
+		wait = relayWait
+	}
+	changes, revision, err := f.entry.store.Watch(ctx, everything, after, wait)
+	if len(changes) > 0 {
+		defer pause(ctx, coalesce)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	wasCut := f.cutWatch == nil
@@ -136,28 +178,53 @@
 	f.state.Apply(changes, revision, now, f.inGap(now))
 	f.lastHeard = now
 	f.publish("watch")
+	f.entry.peers.tellAll(f.state.Revision())
 	return nil
 }
 
-// learn takes in a picture that a peer has read of the store.
-func (f *follower) learn(snapshot store.Snapshot, peer string) {
+// learn takes in what a peer has read of the store: changes since the known
+// revision, or everything.
+func (f *follower) learn(news news, peer string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if snapshot.Revision() <= f.state.Revision() {
+	if news.revision <= f.state.Revision() {
 		return
 	}
 	now := time.Now()
-	f.state.Replace(snapshot, now, f.inGap(now))
-	event.PictureTaken.Log(f.entry.logger, zap.String("source", peer), zap.Uint64("revision", snapshot.Revision()))
+	if news.partial {
+		f.state.Apply(news.changes, news.revision, now, f.inGap(now))
+	} else {
+		f.state.Replace(store.NewSnapshot(news.pairs, news.revision), now, f.inGap(now))
+		event.PictureTaken.Log(f.entry.logger, zap.String("source", peer), zap.Uint64("revision", news.revision))
+	}
 	f.publish(peer)
 	if f.cutWatch != nil {
 		// The watch has missed what the peer has read.
-		event.WatchBehind.Log(f.entry.logger, zap.String("peer", peer), zap.Uint64("revision", snapshot.Revision()))
+		event.WatchBehind.Log(f.entry.logger, zap.String("peer", peer), zap.Uint64("revision", news.revision))
 		f.cutWatch()
 		f.cutWatch = nil
 	}
 }
 
+// relayed takes note that an entry which watches has read nothing newer.
+func (f *follower) relayed(revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision == f.state.Revision() && f.cutWatch == nil {
+		now := time.Now()
+		f.lastHeard = now
+		f.state.Confirm(now)
+		f.entry.picture.Store(f.state.Picture())
+	}
+}
+
+// isWatching reports whether this entry's watch was answered lately.
+func (f *follower) isWatching() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reachable && f.cutWatch != nil && time.Since(f.lastHeard) < relayWait+gapAfter
+}
+
 // publish makes the newest picture the entry's. The caller holds the lock.
 func (f *follower) publish(source string) {
 	logger := f.entry.logger
@@ -205,11 +272,14 @@
 	}
 }
 
-// known returns the revision that the picture is of, and its pairs.
-func (f *follower) known() (uint64, []store.Pair) {
+// since returns what a peer lacks that knows everything up to a revision.
+func (f *follower) since(revision uint64) news {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.Revision(), f.state.Pairs()
+	if changes, ok := f.state.Since(revision); ok {
+		return news{revision: f.state.Revision(), partial: true, changes: changes}
+	}
+	return news{revision: f.state.Revision(), pairs: f.state.Pairs()}
 }
 
 func (f *follower) revision() uint64 {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -44,10 +44,29 @@
 	aheadAt time.Time
 	from    string
 	told    int
+	relay   time.Time
+	// wake is signalled when a peer is ahead.
+	wake chan struct{}
+}
+
+// news is what a peer has read of the store: changes if it is partial, all pairs
+// otherwise.
+type news struct {
+	revision uint64
+	partial  bool
+	changes  []store.Change
+	pairs    []store.Pair
+}
+
+// sinceRelay returns how long no entry has told that it watches the store.
+func (p *peers) sinceRelay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.relay)
 }
 
 func newPeers(e *Entry) *peers {
-	return &peers{entry: e, heard: make(map[string]time.Time)}
+	return &peers{entry: e, heard: make(map[string]time.Time), wake: make(chan struct{}, 1)}
 }
 
 // isAlive reports whether callers may be told of a member: it was heard lately,
@@ -78,27 +97,65 @@
 			subscribed = now
 			p.subscribe()
 		}
-		p.catchUp(ctx)
-		pause(ctx, helloPeriod)
+		for next := time.Now().Add(helloPeriod); ctx.Err() == nil; {
+			p.catchUp(ctx)
+			left := time.Until(next)
+			if left <= 0 || !p.wait(ctx, left) {
+				break
+			}
+		}
+	}
+}
+
+// wait waits for news of a peer, and reports whether some came.
+func (p *peers) wait(ctx context.Context, most time.Duration) bool {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-p.wake:
+		return true
+	case <-timer.C:
+		return false
+	case <-ctx.Done():
+		return false
 	}
 }
 
 // hello tells the next few members what this entry has read.
 func (p *peers) hello() {
 	e := p.entry
-	own := e.settings.Load().Name()
+	message := p.helloMessage(e.follower.revision(), e.follower.isWatching())
 	members := e.picture.Load().Members()
-	message := &wirepb.Datagram{Body: &wirepb.Datagram_Hello{Hello: &wirepb.Hello{
-		Name:     own,
-		Revision: e.follower.revision(),
-		Suspects: e.crashes.suspects(),
-	}}}
 	for range min(helloFanout, len(members)) {
 		p.told++
-		member := members[p.told%len(members)]
-		if address, err := netip.ParseAddrPort(member.Peers()); err == nil && member.Name() != own {
-			e.socket.Send(message, address)
-		}
+		p.tell(members[p.told%len(members)], message)
+	}
+}
+
+// tellAll tells all members of a revision that was just read, if they rely on it.
+func (p *peers) tellAll(revision uint64) {
+	members := p.entry.picture.Load().Members()
+	if len(members) <= maxWatchers {
+		return
+	}
+	message := p.helloMessage(revision, true)
+	for _, member := range members {
+		p.tell(member, message)
+	}
+}
+
+func (p *peers) helloMessage(revision uint64, watching bool) *wirepb.Datagram {
+	return &wirepb.Datagram{Body: &wirepb.Datagram_Hello{Hello: &wirepb.Hello{
+		Name:     p.entry.settings.Load().Name(),
+		Revision: revision,
+		Suspects: p.entry.crashes.suspects(),
+		Watching: watching,
+	}}}
+}
+
+func (p *peers) tell(member table.Member, message *wirepb.Datagram) {
+	if address, err := netip.ParseAddrPort(member.Peers()); err == nil && member.Name() != p.entry.settings.Load().Name() {
+		p.entry.socket.Send(message, address)
 	}
 }
 
@@ -147,10 +204,16 @@
 func (p *peers) heardHello(hello *wirepb.Hello) {
 	p.entry.crashes.learn(hello.GetSuspects())
 	known := p.entry.follower.revision()
+	if hello.GetWatching() {
+		p.entry.follower.relayed(hello.GetRevision())
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.heard[hello.GetName()] = now
+	if hello.GetWatching() {
+		p.relay = now
+	}
 	if hello.GetRevision() <= known {
 		return
 	}
@@ -160,14 +223,19 @@
 	if hello.GetRevision() >= p.ahead {
 		p.ahead, p.from = hello.GetRevision(), hello.GetName()
 	}
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
 }
 
 // catchUp fetches the picture of a peer that has read more, if the store doesn't
 // show it in time.
 func (p *peers) catchUp(ctx context.Context) {
 	known := p.entry.follower.revision()
+	relies := !p.entry.follower.watches()
 	p.mu.Lock()
-	due := p.ahead > known && time.Since(p.aheadAt) > fetchAfter
+	due := p.ahead > known && (relies || time.Since(p.aheadAt) > fetchAfter)
 	name := p.from
 	p.mu.Unlock()
 	if !due {
@@ -177,8 +245,8 @@
 		if member.Name() != name {
 			continue
 		}
-		if snapshot, err := p.fetch(ctx, member.Peers(), known); err == nil {
-			p.entry.follower.learn(snapshot, name)
+		if news, err := p.fetch(ctx, member.Peers(), known); err == nil {
+			p.entry.follower.learn(news, name)
 		} else {
 			event.SessionDialFail.Log(p.entry.logger, zap.String("peer", name), event.Error(err))
 		}
@@ -187,32 +255,37 @@
 }
 
 // fetch asks the entry at address for its picture.
-func (p *peers) fetch(ctx context.Context, address string, known uint64) (store.Snapshot, error) {
+func (p *peers) fetch(ctx context.Context, address string, known uint64) (news, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	session, err := p.entry.dialer.Dial(ctx, address)
 	if err != nil {
-		return store.Snapshot{}, err
+		return news{}, err
 	}
 	defer session.Close()
 	stream, err := session.Open()
 	if err != nil {
-		return store.Snapshot{}, err
+		return news{}, err
 	}
 	ask := &wirepb.Frame{Body: &wirepb.Frame_PictureAsk{PictureAsk: &wirepb.PictureAsk{Revision: known}}}
 	if err := stream.Write(ask); err != nil {
-		return store.Snapshot{}, err
+		return news{}, err
 	}
 	answer, err := stream.ReadWithin(fetchTimeout)
 	if err != nil {
-		return store.Snapshot{}, err
+		return news{}, err
 	}
 	picture := answer.GetPicture()
-	pairs := make([]store.Pair, 0, len(picture.GetPairs()))
-	for _, pair := range picture.GetPairs() {
-		pairs = append(pairs, store.NewPair(pair.GetKey(), pair.GetValue(), pair.GetRevision()))
+	got := news{revision: picture.GetRevision(), partial: picture.GetPartial()}
+	for _, wire := range picture.GetPairs() {
+		pair := store.NewPair(wire.GetKey(), wire.GetValue(), wire.GetRevision())
+		got.pairs = append(got.pairs, pair)
+		got.changes = append(got.changes, store.Written(pair))
+	}
+	for _, wire := range picture.GetRemoved() {
+		got.changes = append(got.changes, store.Removed(wire.GetKey(), wire.GetRevision()))
 	}
-	return store.NewSnapshot(pairs, picture.GetRevision()), nil
+	return got, nil
 }
 
 // serveStream answers a peer that asks for the picture.
@@ -220,10 +293,20 @@
 	if first.GetPictureAsk() == nil {
 		return
 	}
-	revision, pairs := p.entry.follower.known()
-	picture := &wirepb.Picture{Revision: revision}
-	for _, pair := range pairs {
-		picture.Pairs = append(picture.Pairs, &wirepb.StoredPair{Key: pair.Key(), Value: pair.Value(), Revision: pair.Revision()})
+	told := p.entry.follower.since(first.GetPictureAsk().GetRevision())
+	picture := &wirepb.Picture{Revision: told.revision, Partial: told.partial}
+	add := func(pair store.Pair, list *[]*wirepb.StoredPair) {
+		*list = append(*list, &wirepb.StoredPair{Key: pair.Key(), Value: pair.Value(), Revision: pair.Revision()})
+	}
+	for _, pair := range told.pairs {
+		add(pair, &picture.Pairs)
+	}
+	for _, change := range told.changes {
+		if change.IsRemoved() {
+			add(change.Pair(), &picture.Removed)
+		} else {
+			add(change.Pair(), &picture.Pairs)
+		}
 	}
 	if err := stream.Write(&wirepb.Frame{Body: &wirepb.Frame_Picture{Picture: picture}}); err != nil {
 		event.FrameRefused.Log(p.entry.logger, event.Error(err))
--- a/pkg/belief/belief.go
+++ b/pkg/belief/belief.go
@@ -103,8 +103,10 @@
 	removed  map[string]removal
 	table    *table.Table
 	revision uint64
-	current  *Picture
-	findings []Finding
+	// forgotten is the newest revision of a removal that is remembered no more.
+	forgotten uint64
+	current   *Picture
+	findings  []Finding
 }
 
 // New returns a state that believes nothing yet.
@@ -139,6 +141,26 @@
 	return pairs
 }
 
+// Since returns what has changed after a revision, for a peer. It reports false
+// if that isn't known any more.
+func (s *State) Since(revision uint64) ([]store.Change, bool) {
+	if revision < s.forgotten || revision == 0 {
+		return nil, false
+	}
+	var changes []store.Change
+	for _, it := range s.items {
+		if it.pair.Revision() > revision && it.lapse.IsZero() {
+			changes = append(changes, store.Written(it.pair))
+		}
+	}
+	for key, gone := range s.removed {
+		if gone.revision > revision {
+			changes = append(changes, store.Removed(key, gone.revision))
+		}
+	}
+	return changes, true
+}
+
 // Replace takes in a full read as of the snapshot's revision. Keys that it
 // doesn't hold are gone; an endpoint's entry lapses with LapseGrace if afterGap
 // says that the store couldn't be watched before. It reports whether the read
@@ -190,6 +212,7 @@
 	}
 	for key, gone := range s.removed {
 		if now.Sub(gone.at) > removalsKept {
+			s.forgotten = max(s.forgotten, gone.revision)
 			delete(s.removed, key)
 		}
 	}
