platform: one client for the store, and stand-ins that speak the platform's protocols

Cause: the product had two clients for a key-value store (internal/kvhttp spoke a protocol of its own). Change: platform.Store serves the whole product; internal/kvhttp is gone. platform/fakes serves the stand-in's items by the platform's protocol (pages, watches with 410, transactions, leases; down, silent, slow, deaf, forgetful, answers lost) and stands in for replicas (streams, seals, refusals, resets, extra, foreign, cut and unframed answers). The keys that entries watch share the prefix live/, so that one watch covers them. Entries' tests on the platform run against both; the race detector found that a request read an endpoint's entry while a picture replaced it: mended.

--- a/cmd/lentilstand/audit.go
+++ b/cmd/lentilstand/audit.go
@@ -6,9 +6,9 @@
 	"io"
 	"time"
 
-	"github.com/lentilstand/lentilstand/internal/kvhttp"
 	"github.com/lentilstand/lentilstand/internal/prefs"
 	"github.com/lentilstand/lentilstand/pkg/audit"
+	"github.com/lentilstand/lentilstand/platform"
 )
 
 // auditTimeout bounds a read of the key-value service by an audit, which may be
@@ -36,7 +36,7 @@
 		fmt.Fprintln(errs, "error: --until must be after --since")
 		return exitUsage
 	}
-	kv := kvhttp.NewClient(settings.KeyValue(), "operator", kvhttp.WithTimeout(auditTimeout))
+	kv := platform.NewStore(settings.KeyValue(), "operator", platform.WithTimeout(auditTimeout))
 	defer kv.Close()
 	report, err := audit.Replay(ctx, kv, audit.NewSpan(c.Since, until), now)
 	if err != nil {
--- a/cmd/lentilstand/patch.go
+++ b/cmd/lentilstand/patch.go
@@ -17,10 +17,10 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lentilstand/lentilstand/internal/entry"
-	"github.com/lentilstand/lentilstand/internal/kvhttp"
 	"github.com/lentilstand/lentilstand/internal/prefs"
 	"github.com/lentilstand/lentilstand/pkg/chain"
 	"github.com/lentilstand/lentilstand/pkg/config"
+	"github.com/lentilstand/lentilstand/platform"
 )
 
 // submitTimeout bounds the wait for an entry's answer to a patch.
@@ -91,7 +91,7 @@
 // operator is what the operators' commands work with.
 type operator struct {
 	settings prefs.Operator
-	kv       *kvhttp.Client
+	kv       *platform.Store
 	out      io.Writer
 	errs     io.Writer
 }
@@ -101,7 +101,7 @@
 	if err != nil {
 		return badSettings(errs, err)
 	}
-	o := &operator{settings: settings, kv: kvhttp.NewClient(settings.KeyValue(), "operator"), out: out, errs: errs}
+	o := &operator{settings: settings, kv: platform.NewStore(settings.KeyValue(), "operator"), out: out, errs: errs}
 	defer o.kv.Close()
 	switch {
 	case c.Init != nil:
--- a/cmd/lentilstand/report.go
+++ b/cmd/lentilstand/report.go
@@ -13,12 +13,12 @@
 	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot/plotter"
 
-	"github.com/lentilstand/lentilstand/internal/kvhttp"
 	"github.com/lentilstand/lentilstand/internal/plots"
 	"github.com/lentilstand/lentilstand/internal/prefs"
 	"github.com/lentilstand/lentilstand/pkg/audit"
 	"github.com/lentilstand/lentilstand/pkg/burn"
 	"github.com/lentilstand/lentilstand/pkg/chain"
+	"github.com/lentilstand/lentilstand/platform"
 )
 
 // reportCommand makes reports.
@@ -44,7 +44,7 @@
 		fmt.Fprintln(errs, "error: a subcommand of report is needed; see lentilstand report --help")
 		return exitUsage
 	}
-	kv := kvhttp.NewClient(settings.KeyValue(), "operator", kvhttp.WithTimeout(auditTimeout))
+	kv := platform.NewStore(settings.KeyValue(), "operator", platform.WithTimeout(auditTimeout))
 	defer kv.Close()
 	rows, err := c.Burn.rows(ctx, kv)
 	if err == nil {
@@ -57,7 +57,7 @@
 	return exitOK
 }
 
-func (c *reportBurn) rows(ctx context.Context, kv *kvhttp.Client) ([]burn.Row, error) {
+func (c *reportBurn) rows(ctx context.Context, kv *platform.Store) ([]burn.Row, error) {
 	now := c.At
 	if now.IsZero() {
 		now = time.Now()
--- a/cmd/lentilstand/standin.go
+++ b/cmd/lentilstand/standin.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lentilstand/lentilstand/internal/stand"
+	"github.com/lentilstand/lentilstand/platform/fakes"
 )
 
 // standInCommand runs a stand-in of an outside system.
@@ -77,7 +78,7 @@
 	nothing := func() {}
 	switch {
 	case c.KeyValue != nil:
-		return stand.NewKVServer(stand.NewKV()), nothing
+		return fakes.NewStore(stand.NewKV()), nothing
 	case c.HostList != nil:
 		return stand.NewHosts(time.Duration(c.HostList.LagMS) * time.Millisecond), nothing
 	case c.WeightStore != nil:
--- a/cmd/lentilstand/voters.go
+++ b/cmd/lentilstand/voters.go
@@ -8,10 +8,10 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/lentilstand/lentilstand/internal/kvhttp"
 	"github.com/lentilstand/lentilstand/internal/prefs"
 	"github.com/lentilstand/lentilstand/pkg/chain"
 	"github.com/lentilstand/lentilstand/pkg/store"
+	"github.com/lentilstand/lentilstand/platform"
 )
 
 // votersCommand shows who has a vote and removes the votes of dead processes.
@@ -36,7 +36,7 @@
 	if err != nil {
 		return badSettings(errs, err)
 	}
-	kv := kvhttp.NewClient(settings.KeyValue(), "operator")
+	kv := platform.NewStore(settings.KeyValue(), "operator")
 	defer kv.Close()
 	switch {
 	case c.List != nil:
@@ -57,7 +57,7 @@
 	return exitOK
 }
 
-func listVoters(ctx context.Context, kv *kvhttp.Client, out io.Writer) error {
+func listVoters(ctx context.Context, kv *platform.Store, out io.Writer) error {
 	head, err := chain.Head(ctx, kv)
 	if err != nil {
 		return err
@@ -71,7 +71,7 @@
 // removeVoters writes the head again with fewer voters. It is safe only because
 // the operator has confirmed that the removed ones are dead: no majority that
 // holds an older view can be made of those that are left.
-func removeVoters(ctx context.Context, kv *kvhttp.Client, out io.Writer, dead []string) error {
+func removeVoters(ctx context.Context, kv *platform.Store, out io.Writer, dead []string) error {
 	snapshot, err := kv.Read(ctx, chain.HeadKey, chain.PendingKey)
 	if err != nil {
 		return err
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -19,12 +19,13 @@
 
 	"github.com/lentilstand/lentilstand/internal/agent"
 	"github.com/lentilstand/lentilstand/internal/entry"
-	"github.com/lentilstand/lentilstand/internal/kvhttp"
 	"github.com/lentilstand/lentilstand/internal/prefs"
 	"github.com/lentilstand/lentilstand/internal/stand"
 	"github.com/lentilstand/lentilstand/pkg/admit"
 	"github.com/lentilstand/lentilstand/pkg/chain"
 	"github.com/lentilstand/lentilstand/pkg/config"
+	"github.com/lentilstand/lentilstand/platform"
+	"github.com/lentilstand/lentilstand/platform/fakes"
 )
 
 // Replica is one endpoint to run.
@@ -79,7 +80,7 @@
 type Bench struct {
 	spec    Spec
 	servers []*http.Server
-	kv      *stand.KVServer
+	kv      *fakes.Store
 	kvCore  *stand.KV
 	kvAddr  string
 	hosts   *stand.Hosts
@@ -122,7 +123,7 @@
 }
 
 func (b *Bench) start(ctx context.Context) error {
-	b.kv = stand.NewKVServer(b.kvCore)
+	b.kv = fakes.NewStore(b.kvCore)
 	b.hosts = stand.NewHosts(b.spec.HostLag)
 	var err error
 	if b.kvAddr, err = b.listen(b.kv); err != nil {
@@ -244,7 +245,7 @@
 	if err != nil {
 		return err
 	}
-	client := kvhttp.NewClient(b.kvAddr, "bench")
+	client := platform.NewStore(b.kvAddr, "bench")
 	defer client.Close()
 	return chain.Begin(ctx, client, config.First(cfg, time.Now()), "bench")
 }
@@ -329,7 +330,7 @@
 func (b *Bench) Plain(name string) *stand.Plain { return b.plains[name] }
 
 // KV returns the server of the key-value service, to make it misbehave.
-func (b *Bench) KV() *stand.KVServer { return b.kv }
+func (b *Bench) KV() *fakes.Store { return b.kv }
 
 // Counts returns the calls that the key-value service has counted.
 func (b *Bench) Counts() stand.KVCounts { return b.kvCore.Counts() }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -18,6 +18,7 @@
 	"github.com/lentilstand/lentilstand/internal/entry"
 	"github.com/lentilstand/lentilstand/internal/stand"
 	"github.com/lentilstand/lentilstand/pkg/config"
+	"github.com/lentilstand/lentilstand/platform/fakes"
 )
 
 // The names of the demonstration, after the Traunsee deployment.
@@ -315,8 +316,8 @@
 // outage takes the key-value service down: chats go on, and what can't be
 // claimed is refused as not run.
 func (s *show) outage(ctx context.Context) error {
-	s.bench.KV().SetFaults(stand.KVFaults{Down: true})
-	defer s.bench.KV().SetFaults(stand.KVFaults{})
+	s.bench.KV().SetFaults(fakes.StoreFaults{Down: true})
+	defer s.bench.KV().SetFaults(fakes.StoreFaults{})
 	time.Sleep(3 * time.Second)
 	if err := s.chats(ctx, 3); err != nil {
 		return err
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -68,7 +68,7 @@
 			event.RetryDenied.Log(e.logger, zap.String("request", r.call.ID), zap.String("service", r.service.name))
 			break
 		}
-		endpoint, err := r.service.place(ctx, ticket)
+		given, err := r.service.place(ctx, ticket)
 		if err != nil {
 			if sends == 0 {
 				r.turnAway(ctx, err)
@@ -76,15 +76,15 @@
 			}
 			break
 		}
-		r.tried[endpoint.spec.ID()] = true
+		r.tried[given.spec.ID()] = true
 		at := time.Since(r.began)
-		result, answer, reason := r.send(ctx, endpoint, relay)
-		r.service.release(endpoint)
-		r.attempts = append(r.attempts, attempt{endpoint: endpoint.spec.ID(), at: at, result: reason})
+		result, answer, reason := r.send(ctx, given, relay)
+		r.service.release(given.endpoint)
+		r.attempts = append(r.attempts, attempt{endpoint: given.spec.ID(), at: at, result: reason})
 		if answer != nil {
 			held = answer
 		}
-		r.judge(endpoint, result, reason, ctx)
+		r.judge(ctx, given, result, reason)
 		switch result {
 		case done:
 			return
@@ -93,7 +93,7 @@
 				continue
 			}
 		case notRun:
-			r.service.groupRefused(endpoint)
+			r.service.groupRefused(given.endpoint)
 			sends++
 		default:
 			sends++
@@ -107,19 +107,19 @@
 }
 
 // judge takes note of what an attempt says of its endpoint and of the request.
-func (r *request) judge(endpoint *endpoint, result ending, reason string, ctx context.Context) {
+func (r *request) judge(ctx context.Context, given seat, result ending, reason string) {
 	switch {
 	case result == done && r.status < http.StatusInternalServerError:
-		r.service.succeeded(endpoint)
+		r.service.succeeded(given.endpoint)
 		r.entry.crashes.clear(r.print)
 	case result == failed && ctx.Err() == nil:
-		r.service.failed(endpoint, reason)
-		r.entry.crashes.cut(r.print, endpoint.spec.Incarnation())
+		r.service.failed(given.endpoint, reason)
+		r.entry.crashes.cut(r.print, given.spec.Incarnation())
 	case result == unsent && ctx.Err() == nil, result == failed && errors.Is(ctx.Err(), context.DeadlineExceeded):
-		r.service.failed(endpoint, reason)
+		r.service.failed(given.endpoint, reason)
 	case result == wrong:
 		// Errors of a single request say little of the endpoint.
-		r.service.erred(endpoint, reason)
+		r.service.erred(given.endpoint)
 	}
 }
 
@@ -168,7 +168,7 @@
 }
 
 // send makes one attempt at an endpoint and passes its answer on.
-func (r *request) send(ctx context.Context, endpoint *endpoint, relay *relay) (ending, *wholeAnswer, string) {
+func (r *request) send(ctx context.Context, given seat, relay *relay) (ending, *wholeAnswer, string) {
 	lastEvent := r.call.LastEvent
 	if relay.last != "" {
 		lastEvent = relay.last
@@ -179,7 +179,7 @@
 		Host:   r.host,
 		Body:   r.body,
 		Header: r.call.Header(platform.Attempt{
-			EndpointID: endpoint.spec.ID(),
+			EndpointID: given.spec.ID(),
 			Team:       r.team.Name(),
 			Remaining:  time.Until(r.deadline),
 			LastEvent:  lastEvent,
@@ -187,7 +187,7 @@
 		}),
 	}
 	var reply platform.Reply
-	answer, err := r.entry.pool.Send(ctx, endpoint.spec.Address(), outgoing, func(status int, header http.Header) bool {
+	answer, err := r.entry.pool.Send(ctx, given.spec.Address(), outgoing, func(status int, header http.Header) bool {
 		reply = platform.ReadReply(status, header)
 		return reply.RequestID == r.call.ID || (reply.RequestID == "" && reply.NotRun)
 	})
@@ -199,7 +199,7 @@
 	}
 	defer answer.Close()
 	if reply.HasLoad {
-		r.service.shown(endpoint, reply.Running, reply.Waiting, reply.Slots)
+		r.service.shown(given.endpoint, reply.Running, reply.Waiting, reply.Slots)
 	}
 	if reply.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxWholeBytes))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -88,7 +88,7 @@
 	e := &Entry{
 		logger:   logger,
 		meter:    metrics,
-		store:    platform.NewStore(settings.Store()),
+		store:    platform.NewStore(settings.Store(), settings.Name()),
 		services: make(map[string]*service),
 		patience: make(map[string]time.Duration),
 		crashes:  newCrashes(logger),
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -154,7 +154,7 @@
 	if len(f.entry.picture.Load().Members()) > maxWatchers {
 		wait = relayWait
 	}
-	changes, revision, err := f.entry.store.Watch(ctx, everything, after, wait)
+	changes, revision, err := f.entry.store.Changes(ctx, everything, after, wait)
 	if len(changes) > 0 {
 		defer pause(ctx, coalesce)
 	}
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -86,10 +86,16 @@
 	return e.failures * math.Exp2(-now.Sub(e.failedAt).Seconds()/failureHalfLife.Seconds())
 }
 
+// seat is a request's place at an endpoint, as that was when it was given.
+type seat struct {
+	endpoint *endpoint
+	spec     *table.Endpoint
+}
+
 // waiter is a request that waits for room.
 type waiter struct {
 	ticket
-	turn chan *endpoint
+	turn chan seat
 }
 
 // ticket describes a request that wants an endpoint.
@@ -238,7 +244,7 @@
 
 // take chooses an endpoint and counts the request there. The caller holds the
 // lock.
-func (s *service) take(tried map[string]bool, now time.Time) (*endpoint, pick.Verdict) {
+func (s *service) take(tried map[string]bool, now time.Time) (seat, pick.Verdict) {
 	extra := plainExtra
 	if s.engine {
 		extra = engineExtra
@@ -251,14 +257,14 @@
 		s.noteOutage(verdict == pick.None, now)
 	}
 	if verdict != pick.Chosen {
-		return nil, verdict
+		return seat{}, verdict
 	}
 	e := s.endpoints[at]
 	e.mine++
 	if now.Before(e.coldUntil) {
 		e.sent = append(e.sent, now)
 	}
-	return e, pick.Chosen
+	return seat{endpoint: e, spec: e.spec}, pick.Chosen
 }
 
 // noteOutage learns how long the service is without endpoints. The caller holds
@@ -295,7 +301,7 @@
 // place returns an endpoint for a request, after a wait of at most the ticket's
 // patience. It refuses at once what would wait longer, and those who can come
 // back when there is no endpoint at all.
-func (s *service) place(ctx context.Context, t ticket) (*endpoint, error) {
+func (s *service) place(ctx context.Context, t ticket) (seat, error) {
 	now := time.Now()
 	s.mu.Lock()
 	ahead := 0
@@ -306,33 +312,33 @@
 	}
 	verdict := pick.Full
 	if ahead == 0 {
-		var e *endpoint
-		if e, verdict = s.take(t.tried, now); verdict == pick.Chosen {
+		var given seat
+		if given, verdict = s.take(t.tried, now); verdict == pick.Chosen {
 			s.mu.Unlock()
-			return e, nil
+			return given, nil
 		}
 	}
 	if reason := s.refuses(t, verdict, ahead, now); reason != nil {
 		s.mu.Unlock()
-		return nil, reason
+		return seat{}, reason
 	}
-	w := &waiter{ticket: t, turn: make(chan *endpoint, 1)}
+	w := &waiter{ticket: t, turn: make(chan seat, 1)}
 	s.waiting = append(s.waiting, w)
 	s.mu.Unlock()
 	timer := time.NewTimer(t.patience)
 	defer timer.Stop()
 	select {
-	case e := <-w.turn:
-		return e, nil
+	case given := <-w.turn:
+		return given, nil
 	case <-timer.C:
 		return s.leave(w, errLate)
 	case <-ctx.Done():
-		e, err := s.leave(w, ctx.Err())
+		given, err := s.leave(w, ctx.Err())
 		if err == nil {
-			s.release(e)
+			s.release(given.endpoint)
 			err = ctx.Err()
 		}
-		return nil, err
+		return seat{}, err
 	}
 }
 
@@ -353,12 +359,12 @@
 }
 
 // leave takes a waiter out of the line, unless its turn has just come.
-func (s *service) leave(w *waiter, reason error) (*endpoint, error) {
+func (s *service) leave(w *waiter, reason error) (seat, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if at := slices.Index(s.waiting, w); at >= 0 {
 		s.waiting = slices.Delete(s.waiting, at, at+1)
-		return nil, reason
+		return seat{}, reason
 	}
 	return <-w.turn, nil
 }
@@ -374,12 +380,12 @@
 			}
 		}
 		w := s.waiting[next]
-		e, verdict := s.take(w.tried, now)
+		given, verdict := s.take(w.tried, now)
 		if verdict != pick.Chosen {
 			return
 		}
 		s.waiting = slices.Delete(s.waiting, next, next+1)
-		w.turn <- e
+		w.turn <- given
 	}
 }
 
@@ -501,7 +507,7 @@
 }
 
 // erred takes note of an error in an endpoint's answer.
-func (s *service) erred(e *endpoint, _ string) {
+func (s *service) erred(e *endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -13,6 +13,7 @@
 	"github.com/lentilstand/lentilstand/internal/entry"
 	"github.com/lentilstand/lentilstand/internal/stand"
 	"github.com/lentilstand/lentilstand/pkg/config"
+	"github.com/lentilstand/lentilstand/platform/fakes"
 )
 
 // threeCentres returns a bench of three data centres with an entry and an
@@ -63,14 +64,14 @@
 		}
 		b.Entry(name).Dialer().Block(across...)
 	}
-	b.KV().SetFaults(stand.KVFaults{Down: true, Only: names})
+	b.KV().SetFaults(fakes.StoreFaults{Down: true, Only: names})
 }
 
 func heal(b *bench.Bench) {
 	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
 		b.Entry(name).Dialer().Block()
 	}
-	b.KV().SetFaults(stand.KVFaults{})
+	b.KV().SetFaults(fakes.StoreFaults{})
 }
 
 func ask(t *testing.T, b *bench.Bench, name string, n int) bench.Answer {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,7 +19,6 @@
 
 	"github.com/lentilstand/lentilstand/internal/admin"
 	"github.com/lentilstand/lentilstand/internal/event"
-	"github.com/lentilstand/lentilstand/internal/kvhttp"
 	"github.com/lentilstand/lentilstand/internal/link"
 	"github.com/lentilstand/lentilstand/internal/meter"
 	"github.com/lentilstand/lentilstand/internal/prefs"
@@ -27,6 +26,7 @@
 	"github.com/lentilstand/lentilstand/pkg/audit"
 	"github.com/lentilstand/lentilstand/pkg/claim"
 	"github.com/lentilstand/lentilstand/pkg/retry"
+	"github.com/lentilstand/lentilstand/platform"
 )
 
 // Entry takes callers' requests. Use New.
@@ -35,7 +35,7 @@
 	logger      *zap.Logger
 	meter       *meter.Meter
 	incarnation string
-	kv          *kvhttp.Client
+	kv          *platform.Store
 	dialer      link.Dialer
 	follower    *follower
 	registrar   *registrar
@@ -72,7 +72,7 @@
 		logger:      logger,
 		meter:       metrics,
 		incarnation: uuid.NewString(),
-		kv:          kvhttp.NewClient(settings.KeyValue(), settings.Name()),
+		kv:          platform.NewStore(settings.KeyValue(), settings.Name()),
 		queues:      newQueues(),
 		teams:       newTeamLimits(),
 	}
--- a/internal/entry/register.go
+++ b/internal/entry/register.go
@@ -10,11 +10,11 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/event"
-	"github.com/lentilstand/lentilstand/internal/kvhttp"
 	"github.com/lentilstand/lentilstand/pkg/chain"
 	"github.com/lentilstand/lentilstand/pkg/member"
 	"github.com/lentilstand/lentilstand/pkg/quorum"
 	"github.com/lentilstand/lentilstand/pkg/store"
+	"github.com/lentilstand/lentilstand/platform"
 )
 
 // How membership is kept.
@@ -42,7 +42,7 @@
 // the voters become those members.
 type registrar struct {
 	entry *Entry
-	kv    *kvhttp.Client
+	kv    *platform.Store
 	voter string
 	again chan struct{}
 
--- a/internal/matrix/patch_test.go
+++ b/internal/matrix/patch_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/lentilstand/lentilstand/internal/bench"
 	"github.com/lentilstand/lentilstand/internal/entry"
-	"github.com/lentilstand/lentilstand/internal/stand"
+	"github.com/lentilstand/lentilstand/platform/fakes"
 )
 
 // patchCauses are the faults of a patch's path. They return what the result of
@@ -33,15 +33,15 @@
 		return []string{entry.ResultAccepted}
 	},
 	"key-value service down": func(w *world) []string {
-		w.kvFault(stand.KVFaults{Down: true})
+		w.kvFault(fakes.StoreFaults{Down: true})
 		return []string{entry.ResultAccepted, entry.ResultRejected, entry.ResultUnknown}
 	},
 	"key-value service slow": func(w *world) []string {
-		w.kvFault(stand.KVFaults{SlowMS: 700})
+		w.kvFault(fakes.StoreFaults{SlowMS: 700})
 		return []string{entry.ResultAccepted, entry.ResultRejected}
 	},
 	"key-value answer lost": func(w *world) []string {
-		w.kvFault(stand.KVFaults{LoseAnswers: true})
+		w.kvFault(fakes.StoreFaults{LoseAnswers: true})
 		return []string{entry.ResultAccepted, entry.ResultRejected, entry.ResultUnknown}
 	},
 	"endpoint cold again": func(w *world) []string {
@@ -61,13 +61,13 @@
 	case "stage":
 		w.onWrite("config/record/", 1, fault)
 	case "promise":
-		w.onWrite("config/pending", 1, fault)
+		w.onWrite("live/pending", 1, fault)
 	case "accept":
-		w.onWrite("config/head", 1, fault)
+		w.onWrite("live/head", 1, fault)
 	case "announce":
-		w.onWrite("config/head", 1, func() { w.later(20*time.Millisecond, fault) })
+		w.onWrite("live/head", 1, func() { w.later(20*time.Millisecond, fault) })
 	case "apply":
-		w.onWrite("config/head", 1, func() { w.later(300*time.Millisecond, fault) })
+		w.onWrite("live/head", 1, func() { w.later(300*time.Millisecond, fault) })
 	}
 }
 
--- a/internal/matrix/path_test.go
+++ b/internal/matrix/path_test.go
@@ -16,6 +16,7 @@
 	"github.com/lentilstand/lentilstand/internal/bench"
 	"github.com/lentilstand/lentilstand/internal/stand"
 	"github.com/lentilstand/lentilstand/pkg/config"
+	"github.com/lentilstand/lentilstand/platform/fakes"
 )
 
 // The world that a cell runs in: two entries, two engines and two plain
@@ -211,9 +212,9 @@
 	"connection silent one way":   func(w *world) { w.eachProxy(bench.SilentAnswers) },
 	"connection silent both ways": func(w *world) { w.eachProxy(bench.Silent) },
 	"message late":                func(w *world) { w.eachProxy(bench.Late) },
-	"key-value service down":      func(w *world) { w.kvFault(stand.KVFaults{Down: true}) },
-	"key-value service slow":      func(w *world) { w.kvFault(stand.KVFaults{SlowMS: 700}) },
-	"key-value answer lost":       func(w *world) { w.kvFault(stand.KVFaults{LoseAnswers: true}) },
+	"key-value service down":      func(w *world) { w.kvFault(fakes.StoreFaults{Down: true}) },
+	"key-value service slow":      func(w *world) { w.kvFault(fakes.StoreFaults{SlowMS: 700}) },
+	"key-value answer lost":       func(w *world) { w.kvFault(fakes.StoreFaults{LoseAnswers: true}) },
 	"endpoint cold again": func(w *world) {
 		for _, name := range engines {
 			w.b.Engine(name).SetFaults(stand.EngineFaults{Cold: true})
@@ -251,9 +252,9 @@
 // faultTime is how long a fault of the key-value service lasts.
 const faultTime = 1500 * time.Millisecond
 
-func (w *world) kvFault(faults stand.KVFaults) {
+func (w *world) kvFault(faults fakes.StoreFaults) {
 	w.b.KV().SetFaults(faults)
-	w.later(faultTime, func() { w.b.KV().SetFaults(stand.KVFaults{}) })
+	w.later(faultTime, func() { w.b.KV().SetFaults(fakes.StoreFaults{}) })
 }
 
 func pathCells() []cell {
--- a/internal/probe/control.go
+++ b/internal/probe/control.go
@@ -11,10 +11,10 @@
 
 	"github.com/lentilstand/lentilstand/internal/bench"
 	"github.com/lentilstand/lentilstand/internal/entry"
-	"github.com/lentilstand/lentilstand/internal/kvhttp"
 	"github.com/lentilstand/lentilstand/internal/link"
 	"github.com/lentilstand/lentilstand/internal/stand"
 	"github.com/lentilstand/lentilstand/pkg/config"
+	"github.com/lentilstand/lentilstand/platform"
 )
 
 // fleetSize is one point at which control costs are measured.
@@ -172,7 +172,7 @@
 		began: time.Now(),
 		cpu:   cpuSeconds(),
 		links: float64(link.Sessions.Sent()),
-		kv:    float64(kvhttp.Traffic.Sent() + kvhttp.Traffic.Received()),
+		kv:    float64(platform.StoreTraffic.Sent() + platform.StoreTraffic.Received()),
 		calls: float64(counts.Reads() + counts.Writes()),
 	}
 }
@@ -183,7 +183,7 @@
 	c.seconds = time.Since(c.began).Seconds()
 	c.cpu = cpuSeconds() - c.cpu
 	c.links = float64(link.Sessions.Sent()) - c.links
-	c.kv = float64(kvhttp.Traffic.Sent()+kvhttp.Traffic.Received()) - c.kv
+	c.kv = float64(platform.StoreTraffic.Sent()+platform.StoreTraffic.Received()) - c.kv
 	c.calls = float64(counts.Reads()+counts.Writes()) - c.calls
 }
 
--- a/internal/stand/answer.go
+++ b/internal/stand/answer.go
@@ -80,7 +80,7 @@
 		select {
 		case _, ok := <-seq.tokens:
 			if !ok {
-				answer(w, map[string]any{
+				Reply(w, map[string]any{
 					"id":     "chatcmpl-" + seq.id,
 					"object": "chat.completion",
 					"model":  call.Model,
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -285,7 +285,7 @@
 
 func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
 	var call chatCall
-	if !decode(w, r, &call) {
+	if !Decode(w, r, &call) {
 		return
 	}
 	if call.MaxTokens <= 0 {
--- a/internal/stand/hosts.go
+++ b/internal/stand/hosts.go
@@ -73,13 +73,13 @@
 }
 
 func (h *Hosts) list(w http.ResponseWriter, _ *http.Request) {
-	answer(w, map[string]any{"hosts": h.List()})
+	Reply(w, map[string]any{"hosts": h.List()})
 }
 
 func (h *Hosts) change(w http.ResponseWriter, r *http.Request) {
 	var host Host
-	if decode(w, r, &host) {
+	if Decode(w, r, &host) {
 		h.Set(host.Name, host.State)
-		answer(w, host)
+		Reply(w, host)
 	}
 }
--- a/internal/stand/kv.go
+++ b/internal/stand/kv.go
@@ -75,28 +75,110 @@
 	return k.counts
 }
 
-// Put sets key if it is at the revision expect, where zero means that it must
-// not exist. A lease other than zero deletes the key when it lapses.
-func (k *KV) Put(key string, value []byte, expect, lease uint64) (uint64, error) {
+// Txn is a set of writes that take effect together, if the keys that it expects
+// are at their revisions. The zero Txn is empty.
+type Txn struct {
+	expected map[string]uint64
+	puts     []kvPut
+	removed  []string
+}
+
+type kvPut struct {
+	key   string
+	value []byte
+	lease uint64
+}
+
+// Expect makes the writes depend on key being at revision, where zero means that
+// it doesn't exist.
+func (t *Txn) Expect(key string, revision uint64) {
+	if t.expected == nil {
+		t.expected = make(map[string]uint64)
+	}
+	t.expected[key] = revision
+}
+
+// Put adds a write of key, on a lease other than zero.
+func (t *Txn) Put(key string, value []byte, lease uint64) {
+	t.puts = append(t.puts, kvPut{key: key, value: value, lease: lease})
+}
+
+// Remove adds the removal of key.
+func (t *Txn) Remove(key string) { t.removed = append(t.removed, key) }
+
+// Commit makes the writes of a Txn and returns the revision after them.
+func (k *KV) Commit(t Txn) (uint64, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.counts.writes++
 	k.expire()
-	if k.pairs[key].pair.Revision() != expect && !k.broken {
-		return 0, store.ErrConflict
+	for key, expect := range t.expected {
+		if k.pairs[key].pair.Revision() != expect && !k.broken {
+			return 0, store.ErrConflict
+		}
 	}
-	if lease != 0 {
-		held, ok := k.leases[lease]
-		if !ok {
+	for _, put := range t.puts {
+		if _, ok := k.leases[put.lease]; !ok && put.lease != 0 {
 			return 0, store.ErrLeaseGone
 		}
-		held.keys[key] = true
+	}
+	for _, put := range t.puts {
+		k.put(put)
+	}
+	for _, key := range t.removed {
+		if _, ok := k.pairs[key]; ok {
+			k.remove(key)
+		}
+	}
+	return k.revision, nil
+}
+
+// put writes a pair. The caller holds the lock and knows that the lease is there.
+func (k *KV) put(put kvPut) {
+	if put.lease != 0 {
+		k.leases[put.lease].keys[put.key] = true
 	}
 	k.revision++
-	k.pairs[key] = kvPair{pair: store.NewPair(key, slices.Clone(value), k.revision), lease: lease}
-	delete(k.deleted, key)
+	k.pairs[put.key] = kvPair{pair: store.NewPair(put.key, slices.Clone(put.value), k.revision), lease: put.lease}
+	delete(k.deleted, put.key)
 	k.notify()
-	return k.revision, nil
+}
+
+// Changes waits until something under prefix changes after a revision and returns
+// what has changed and the revision then, or nothing when ctx ends. It reports
+// false if the revision is one that the service hasn't reached.
+func (k *KV) Changes(ctx context.Context, prefix string, after uint64) ([]store.Change, uint64, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.counts.reads++
+	if !k.await(ctx, []string{prefix}, after) {
+		return nil, max(after, k.revision), true
+	}
+	if k.revision < after || k.frozen != nil {
+		return nil, 0, false
+	}
+	var changes []store.Change
+	for key, held := range k.pairs {
+		if held.pair.Revision() > after && strings.HasPrefix(key, prefix) {
+			changes = append(changes, store.Written(held.pair))
+		}
+	}
+	for key, revision := range k.deleted {
+		if revision > after && strings.HasPrefix(key, prefix) {
+			changes = append(changes, store.Removed(key, revision))
+		}
+	}
+	slices.SortFunc(changes, func(a, b store.Change) int { return cmp.Compare(a.Pair().Revision(), b.Pair().Revision()) })
+	return changes, k.revision, true
+}
+
+// Put sets key if it is at the revision expect, where zero means that it must
+// not exist. A lease other than zero deletes the key when it lapses.
+func (k *KV) Put(key string, value []byte, expect, lease uint64) (uint64, error) {
+	var t Txn
+	t.Expect(key, expect)
+	t.Put(key, value, lease)
+	return k.Commit(t)
 }
 
 // Delete removes key if it is at the revision expect.
@@ -168,15 +250,24 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.counts.reads++
+	if k.await(ctx, prefixes, since) {
+		return k.read(prefixes)
+	}
+	return store.Unchanged(max(since, k.revision))
+}
+
+// await waits until something under the prefixes changes after a revision, and
+// reports false if ctx ends first. The caller holds the lock.
+func (k *KV) await(ctx context.Context, prefixes []string, since uint64) bool {
 	k.counts.waiting++
 	defer func() { k.counts.waiting-- }()
 	for {
 		k.expire()
 		if k.changedSince(prefixes, since) {
-			return k.read(prefixes)
+			return true
 		}
 		if ctx.Err() != nil {
-			return store.Unchanged(max(since, k.revision))
+			return false
 		}
 		changed := k.changed
 		k.mu.Unlock()
--- a/internal/stand/plain.go
+++ b/internal/stand/plain.go
@@ -103,20 +103,20 @@
 
 func (p *Plain) setFaults(w http.ResponseWriter, r *http.Request) {
 	var faults PlainFaults
-	if decode(w, r, &faults) {
+	if Decode(w, r, &faults) {
 		p.SetFaults(faults)
-		answer(w, faults)
+		Reply(w, faults)
 	}
 }
 
 func (p *Plain) executions(w http.ResponseWriter, _ *http.Request) {
-	answer(w, p.spec.Ledger.Executions())
+	Reply(w, p.spec.Ledger.Executions())
 }
 
 func (p *Plain) load(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	answer(w, EngineLoad{
+	Reply(w, EngineLoad{
 		Epoch:    p.epoch,
 		Ready:    !p.faults.Down,
 		Leaving:  p.faults.Leaving,
@@ -159,5 +159,5 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("X-Replica", p.epoch)
 	w.WriteHeader(status)
-	answer(w, map[string]any{"number": number, "path": r.URL.Path, "echo": string(body)})
+	Reply(w, map[string]any{"number": number, "path": r.URL.Path, "echo": string(body)})
 }
--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -4,7 +4,7 @@
 // Each version is an immutable record with its patch; every sixty-fourth, and
 // the first, has a snapshot of the whole configuration too. The keys of both
 // hold the version's hash, so that a rejected version never stands in the place
-// of an accepted one with its number. The key "config/head" names the version in
+// of an accepted one with its number. The key "live/head" names the version in
 // force and is changed by compare-and-swap only. A process follows the head
 // record by record, which is cheap, and checks every hash on the way.
 package chain
@@ -24,9 +24,9 @@
 // The keys of the history.
 const (
 	// HeadKey is the key of the head.
-	HeadKey = "config/head"
+	HeadKey = "live/head"
 	// PendingKey is the key of the staged version.
-	PendingKey = "config/pending"
+	PendingKey = "live/pending"
 
 	recordPrefix   = "config/record/"
 	snapshotPrefix = "config/snapshot/"
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -21,7 +21,7 @@
 )
 
 // Prefix is the beginning of the keys of all records.
-const Prefix = "crash/"
+const Prefix = "live/crash/"
 
 // Kept is how long a record lasts after its last death.
 const Kept = time.Hour
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -18,7 +18,7 @@
 )
 
 // Prefix is the beginning of the keys of all members.
-const Prefix = "member/"
+const Prefix = "live/member/"
 
 // Key returns the key of the member with the given name.
 func Key(name string) string { return Prefix + name }
