--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -33,7 +33,7 @@
 	planPeriod = 200 * time.Millisecond
 	// halfLife is how fast counts lose their weight: experts come into demand within
 	// seconds, and some hundred requests make their counts steady enough.
-	halfLife = 600 * time.Millisecond
+	halfLife = 350 * time.Millisecond
 	// gainPerCopy is what a copy of an expert must take off the fullest rank's load,
 	// in mean loads, when passes take comfortablePass of the pause that streams aim
 	// at; the longer passes take, the more a gain is worth. A copy is priced, and
--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -79,7 +79,7 @@
 	settleBound  = 2 * time.Second
 	// usualLead is how many passes ahead a switch is put; each phase takes about
 	// one. slowLead is used while orders get lost.
-	usualLead = 4
+	usualLead = 6
 	slowLead  = 10
 )
 
