--- /dev/null
+++ b/internal/conns/conns_test.go
@@ -0,0 +1,153 @@
+package conns_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lentilstand/lentilstand/internal/conns"
+)
+
+// endpoint answers each request on its connections with the next of some texts;
+// an empty text closes the connection.
+func endpoint(t *testing.T, answers ...string) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	texts := make(chan string, len(answers))
+	for _, answer := range answers {
+		texts <- answer
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					text := <-texts
+					if text == "" {
+						return
+					}
+					_, _ = io.WriteString(conn, text)
+				}
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func ok(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func send(pool *conns.Pool, address netip.AddrPort, body string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request := conns.Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte(body)}
+	answer, err := pool.Send(ctx, address, request, func(_ int, header http.Header) bool { return header.Get("Id") == "own" })
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	content, err := io.ReadAll(answer)
+	return string(content), err
+}
+
+func TestSend(t *testing.T) {
+	testCases := []struct {
+		name    string
+		answers []string
+		want    []string
+		opened  int64
+	}{
+		{name: "a connection is kept", answers: []string{ok("own", "a"), ok("own", "b")}, want: []string{"a", "b"}, opened: 1},
+		{name: "bytes that are left over end it", answers: []string{ok("own", "a") + ok("late", "x"), ok("own", "b")}, want: []string{"a", "b"}, opened: 2},
+		{name: "an answer to another request is skipped", answers: []string{ok("late", "x") + ok("own", "a")}, want: []string{"a"}, opened: 1},
+		{name: "an informational answer isn't final", answers: []string{"HTTP/1.1 103 Early Hints\r\n\r\n" + ok("own", "a")}, want: []string{"a"}, opened: 1},
+		{name: "close is respected", answers: []string{strings.Replace(ok("own", "a"), "Id:", "Connection: close\r\nId:", 1), ok("own", "b")}, want: []string{"a", "b"}, opened: 2},
+		{name: "a large body", answers: []string{ok("own", "a")}, want: []string{"a"}, opened: 1},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			var pool conns.Pool
+			address := endpoint(t, tc.answers...)
+			for _, want := range tc.want {
+				got, err := send(&pool, address, strings.Repeat("x", 40<<10))
+				require.NoError(t, err)
+				require.Equal(t, want, got)
+				time.Sleep(20 * time.Millisecond)
+			}
+			require.Equal(t, tc.opened, pool.Opened())
+		})
+	}
+}
+
+func TestSendTellsWhatCannotHaveRun(t *testing.T) {
+	var pool conns.Pool
+	_, err := send(&pool, netip.MustParseAddrPort("127.0.0.1:1"), "")
+	require.ErrorIs(t, err, conns.ErrNotSent)
+	for name, answer := range map[string]string{
+		"closed": "", "no answer at all": "garbage\r\n\r\n", "a cut head": "HTTP/1.1 200 OK\r\nId: o", "another's answers": ok("a", "x") + ok("b", "x") + ok("c", "x"),
+	} {
+		_, err := send(&pool, endpoint(t, answer, ""), "")
+		require.Error(t, err, name)
+		require.NotErrorIs(t, err, conns.ErrNotSent, name)
+	}
+	_, err = send(&pool, endpoint(t, "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 9\r\n\r\ncut", ""), "")
+	require.Error(t, err, "a cut body")
+}
+
+func TestEventReader(t *testing.T) {
+	stream := "version: 3\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: no id\n\nid: 4\ndata: c"
+	for name, reader := range map[string]io.Reader{"whole": strings.NewReader(stream), "byte by byte": iotest.OneByteReader(strings.NewReader(stream))} {
+		t.Run(name, func(t *testing.T) {
+			events := conns.NewEventReader(reader)
+			var ids, texts []string
+			for {
+				event, err := events.Next()
+				if err != nil {
+					require.True(t, errors.Is(err, conns.ErrEventCut))
+					break
+				}
+				ids, texts = append(ids, event.ID), append(texts, string(event.Raw))
+			}
+			require.Equal(t, []string{"1", "2", ""}, ids)
+			require.Equal(t, stream[:strings.LastIndex(stream, "id: 4")], strings.Join(texts, ""))
+		})
+	}
+}
+
+func FuzzEventReader(f *testing.F) {
+	f.Add("id: 1\n\n", 3)
+	f.Fuzz(func(t *testing.T, stream string, _ int) {
+		events := conns.NewEventReader(iotest.HalfReader(strings.NewReader(stream)))
+		joined := ""
+		for {
+			event, err := events.Next()
+			if err != nil {
+				break
+			}
+			joined += string(event.Raw)
+		}
+		require.True(t, strings.HasPrefix(stream, joined))
+	})
+}
--- /dev/null
+++ b/pkg/pick/pick_test.go
@@ -0,0 +1,121 @@
+package pick_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/lentilstand/lentilstand/pkg/pick"
+)
+
+func fresh(slots, reported int) pick.Load {
+	return pick.Load{Slots: slots, Reported: reported, Age: 50 * time.Millisecond, Pace: 1}
+}
+
+func TestChoose(t *testing.T) {
+	closed, tried, spent, shunned := fresh(4, 0), fresh(4, 0), fresh(4, 0), fresh(4, 0)
+	closed.Closed, tried.Tried, spent.Spent, shunned.Shunned = true, true, true, true
+	slow := fresh(12, 4)
+	slow.Pace = 5
+	testCases := []struct {
+		name    string
+		loads   []pick.Load
+		want    int
+		verdict pick.Verdict
+	}{
+		{name: "the less loaded", loads: []pick.Load{fresh(12, 9), fresh(12, 2)}, want: 1, verdict: pick.Chosen},
+		{name: "not the closed one", loads: []pick.Load{closed, fresh(12, 9)}, want: 1, verdict: pick.Chosen},
+		{name: "not the one tried before", loads: []pick.Load{tried, fresh(12, 9)}, want: 1, verdict: pick.Chosen},
+		{name: "not the slow one", loads: []pick.Load{slow, fresh(12, 9)}, want: 1, verdict: pick.Chosen},
+		{name: "no room", loads: []pick.Load{fresh(4, 6), fresh(4, 7)}, want: -1, verdict: pick.Full},
+		{name: "a cold one has had its share", loads: []pick.Load{spent}, want: -1, verdict: pick.Full},
+		{name: "none runs", loads: []pick.Load{closed, closed}, want: -1, verdict: pick.None},
+		{name: "no endpoint at all", want: -1, verdict: pick.None},
+		{name: "a shunned one if no other runs", loads: []pick.Load{closed, shunned}, want: 1, verdict: pick.Chosen},
+		{name: "no shunned one while others are only full", loads: []pick.Load{fresh(4, 9), shunned}, want: -1, verdict: pick.Full},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			for random := range uint64(20) {
+				at, verdict := pick.Choose(tc.loads, 2, random)
+				require.Equal(t, tc.verdict, verdict)
+				require.Equal(t, tc.want, at)
+			}
+		})
+	}
+}
+
+func TestBusyCountsWhatWasSentSinceTheReport(t *testing.T) {
+	load := pick.Load{Mine: 7, Reported: 10, MineThen: 5, Age: time.Millisecond}
+	require.Equal(t, 12, load.Busy())
+	load.Age = -1
+	require.Equal(t, 7, load.Busy(), "without a report")
+}
+
+func TestChooseNeverExceedsRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		loads := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) pick.Load {
+			load := fresh(rapid.IntRange(1, 12).Draw(t, "slots"), rapid.IntRange(0, 20).Draw(t, "reported"))
+			load.Closed, load.Spent = rapid.Bool().Draw(t, "closed"), rapid.Bool().Draw(t, "spent")
+			load.Shunned = rapid.Bool().Draw(t, "shunned")
+			return load
+		}), 0, 8).Draw(t, "loads")
+		at, verdict := pick.Choose(loads, 2, rapid.Uint64().Draw(t, "random"))
+		require.Equal(t, verdict == pick.Chosen, at >= 0)
+		if at >= 0 {
+			require.False(t, loads[at].Closed || loads[at].Spent)
+			require.Less(t, loads[at].Busy(), loads[at].Slots+2)
+		}
+	})
+}
+
+// TestEntriesDoNotPileUp plays the load that the choice answers: entries that see
+// the same reports, 100 ms old, and send at once.
+func TestEntriesDoNotPileUp(t *testing.T) {
+	const entries, endpoints, each = 6, 12, 8
+	held := make([]int, endpoints)
+	for entry := range uint64(entries) {
+		loads := make([]pick.Load, endpoints)
+		for i := range loads {
+			loads[i] = fresh(12, 3)
+		}
+		for request := range uint64(each) {
+			at, verdict := pick.Choose(loads, 2, entry<<32|request*0x9e3779b9)
+			require.Equal(t, pick.Chosen, verdict)
+			loads[at].Mine++
+			held[at]++
+		}
+	}
+	for i, count := range held {
+		require.LessOrEqual(t, count, 2*entries*each/endpoints, "endpoint %d of %v", i, held)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{12, 63, 860} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			loads := make([]pick.Load, n)
+			for i := range loads {
+				loads[i] = fresh(12, i%9)
+			}
+			b.ReportAllocs()
+			for i := uint64(0); b.Loop(); i++ {
+				pick.Choose(loads, 2, i)
+			}
+		})
+	}
+}
+
+func ExampleChoose() {
+	loads := []pick.Load{
+		{Slots: 12, Reported: 11, Age: 40 * time.Millisecond},
+		{Slots: 12, Reported: 3, Age: 60 * time.Millisecond},
+		{Slots: 12, Closed: true},
+	}
+	at, verdict := pick.Choose(loads, 2, 1)
+	fmt.Println(at, verdict == pick.Chosen)
+	// Output: 1 true
+}
