internal/edge, internal/rank: waits of watches differ, streams leave silent endpoints, maps are paced

Cause 2: streams at a host that stands still were lost to their callers. Change: a repeatable request whose endpoint and agent are both silent for 0.7 s goes on elsewhere. Cause 3: big maps overflowed the leader's link and were sent again after 600 ms (1.8 s a switch at 63 ranks).

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -114,7 +115,9 @@
 		r.entry.crashes.clear(r.print)
 	case result == failed && ctx.Err() == nil:
 		r.service.failed(given.endpoint, reason)
-		r.entry.crashes.cut(r.print, given.spec.Incarnation())
+		if reason != errQuiet.Error() {
+			r.entry.crashes.cut(r.print, given.spec.Incarnation())
+		}
 	case result == unsent && ctx.Err() == nil, result == failed && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		r.service.failed(given.endpoint, reason)
 	case result == wrong:
@@ -167,8 +170,62 @@
 	body   []byte
 }
 
+// Bounds of an attempt at an endpoint that falls silent.
+const (
+	// quietBound is how long an endpoint may send nothing, while its agent is silent
+	// too, before the request goes on elsewhere: callers leave after two seconds.
+	quietBound = 700 * time.Millisecond
+	// quietCheck is how often that is looked at.
+	quietCheck = 200 * time.Millisecond
+)
+
+// errQuiet says that an endpoint and its agent have fallen silent.
+var errQuiet = eris.New("the endpoint and its agent are silent")
+
+// guard ends the returned context when the endpoint falls silent together with
+// its agent, if the request may run again. Progress tells of each sign of life.
+func (r *request) guard(ctx context.Context, given seat) (guarded context.Context, progress, stop func()) {
+	if !r.route.Repeatable() {
+		return ctx, func() {}, func() {}
+	}
+	guarded, cancel := context.WithCancelCause(ctx)
+	var last atomic.Int64
+	progress = func() { last.Store(time.Now().UnixNano()) }
+	progress()
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(quietCheck)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+			}
+			if time.Since(time.Unix(0, last.Load())) > quietBound && r.service.isSilent(given.endpoint) {
+				cancel(errQuiet)
+				return
+			}
+		}
+	}()
+	return guarded, progress, func() {
+		close(done)
+		cancel(nil)
+	}
+}
+
 // send makes one attempt at an endpoint and passes its answer on.
 func (r *request) send(ctx context.Context, given seat, relay *relay) (ending, *wholeAnswer, string) {
+	ctx, progress, stop := r.guard(ctx, given)
+	defer stop()
+	result, answer, reason := r.sendGuarded(ctx, given, relay, progress)
+	if result == failed && errors.Is(context.Cause(ctx), errQuiet) {
+		reason = errQuiet.Error()
+	}
+	return result, answer, reason
+}
+
+func (r *request) sendGuarded(ctx context.Context, given seat, relay *relay, progress func()) (ending, *wholeAnswer, string) {
 	lastEvent := r.call.LastEvent
 	if relay.last != "" {
 		lastEvent = relay.last
@@ -210,7 +267,7 @@
 		return failed, nil, "an answer without its seal"
 	}
 	if success && r.route.Repeat() == table.Stream {
-		return relay.pass(ctx, answer)
+		return relay.pass(ctx, answer, progress)
 	}
 	if relay.stream != nil {
 		return failed, nil, "no stream to go on with: " + strconv.Itoa(answer.Status)
@@ -268,11 +325,12 @@
 
 // pass passes on the events of one attempt. The head waits for the first event,
 // so that an attempt without one leaves no trace.
-func (p *relay) pass(ctx context.Context, answer *conns.Answer) (ending, *wholeAnswer, string) {
+func (p *relay) pass(ctx context.Context, answer *conns.Answer, progress func()) (ending, *wholeAnswer, string) {
 	r := p.request
 	events := conns.NewEventReader(answer)
 	for {
 		next, err := events.Next()
+		progress()
 		if errors.Is(err, io.EOF) {
 			return p.end(answer)
 		}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -401,6 +401,26 @@
 	}, 2*time.Second, 20*time.Millisecond, "a history that is gone is read anew")
 }
 
+// TestAHistoryThatIsDroppedUnheardIsNoticed lets all watches hear nothing while
+// the configuration changes, as a store does that drops its history.
+func TestAHistoryThatIsDroppedUnheardIsNoticed(t *testing.T) {
+	s := startSite(t, "i-1")
+	for i := range 2 {
+		s.entry(fmt.Sprintf("entry-%d", i+2))
+		s.ready(i + 1)
+	}
+	require.Eventually(t, func() bool { return len(s.addresses(0)) == 3 }, 5*time.Second, 20*time.Millisecond)
+	s.store.SetFaults(fakes.StoreFaults{Mute: true})
+	s.configure([]string{"key-2"}, usualRoutes...)
+	time.Sleep(time.Second)
+	s.store.SetFaults(fakes.StoreFaults{Forgetful: true})
+	for at := range s.entries {
+		require.Eventually(t, func() bool {
+			return s.call(at, http.MethodPost, "/book/1", "", nil).status == http.StatusUnauthorized
+		}, 2*time.Second, 20*time.Millisecond, "entry %d", at+1)
+	}
+}
+
 // addresses asks an entry's directory.
 func (s *site) addresses(at int) []string {
 	response, err := http.Get("http://" + s.settings[at].Directory() + "/lentilstand/resolve?name=club.example&region=r&zone=gmunden")
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -19,10 +19,12 @@
 // How the store is followed. Each call is priced, so a watch waits as long as the
 // bound on news allows; peers that have read more end it early.
 const (
-	// watchWait is how long one watch waits.
-	watchWait = 4 * time.Second
-	// relayWait is the same in a large fleet, where others rely on few that watch.
-	relayWait = 2 * time.Second
+	// shortestWait and longestWait are how long a watch waits. All watches can hear
+	// nothing at once, for example while the store drops its history, and a call shows
+	// that only at its end. Changes wake all watches together, so the entries' waits
+	// differ: the first one's end soon tells the others.
+	shortestWait = 800 * time.Millisecond
+	longestWait  = 4 * time.Second
 	// coalesce is the pause after a watch that showed changes: others that follow
 	// closely come with the next call.
 	coalesce = 250 * time.Millisecond
@@ -95,22 +97,38 @@
 	}
 }
 
+// place returns this entry's place among the members, in the order of their
+// names' hashes, and how many they are.
+func (f *follower) place() (place, members int) {
+	list := f.entry.picture.Load().Members()
+	own := xxhash.Sum64String(f.entry.settings.Load().Name())
+	for _, member := range list {
+		if xxhash.Sum64String(member.Name()) < own {
+			place++
+		}
+	}
+	return place, len(list)
+}
+
 // watches reports whether this entry watches the store itself: in a small fleet
 // all do, in a large one those whose names hash lowest, and whoever hears of none
 // that does.
 func (f *follower) watches() bool {
-	members := f.entry.picture.Load().Members()
-	if len(members) <= maxWatchers || f.entry.peers.sinceRelay() > relaySilence {
-		return true
+	place, members := f.place()
+	return members <= maxWatchers || place < relayWatchers || f.entry.peers.sinceRelay() > relaySilence
+}
+
+// wait returns how long this entry's watch waits.
+func (f *follower) wait() time.Duration {
+	place, members := f.place()
+	if members > maxWatchers {
+		members = relayWatchers
 	}
-	own := xxhash.Sum64String(f.entry.settings.Load().Name())
-	before := 0
-	for _, member := range members {
-		if xxhash.Sum64String(member.Name()) < own {
-			before++
-		}
+	if members <= 1 {
+		return shortestWait
 	}
-	return before < relayWatchers
+	share := min(1, float64(place)/float64(members-1))
+	return shortestWait + time.Duration(share*float64(longestWait-shortestWait))
 }
 
 // readAll reads everything and replaces the picture.
@@ -136,7 +154,7 @@
 // inGap reports whether entries may have lapsed unseen, now and for a while after
 // the store is back. The caller holds the lock.
 func (f *follower) inGap(now time.Time) bool {
-	if !f.lastHeard.IsZero() && now.Sub(f.lastHeard) > watchWait+gapAfter || !f.reachable && !f.lastHeard.IsZero() {
+	if !f.lastHeard.IsZero() && now.Sub(f.lastHeard) > longestWait+gapAfter || !f.reachable && !f.lastHeard.IsZero() {
 		f.gapUntil = now.Add(belief.LapseGrace)
 	}
 	return now.Before(f.gapUntil)
@@ -150,11 +168,7 @@
 	after := f.state.Revision()
 	f.cutWatch = cancel
 	f.mu.Unlock()
-	wait := watchWait
-	if len(f.entry.picture.Load().Members()) > maxWatchers {
-		wait = relayWait
-	}
-	changes, revision, err := f.entry.store.Changes(ctx, everything, after, wait)
+	changes, revision, err := f.entry.store.Changes(ctx, everything, after, f.wait())
 	if len(changes) > 0 {
 		defer pause(ctx, coalesce)
 	}
@@ -222,7 +236,7 @@
 func (f *follower) isWatching() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.reachable && f.cutWatch != nil && time.Since(f.lastHeard) < relayWait+gapAfter
+	return f.reachable && f.cutWatch != nil && time.Since(f.lastHeard) < longestWait+gapAfter
 }
 
 // publish makes the newest picture the entry's. The caller holds the lock.
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -34,7 +34,7 @@
 	shunAt, trustAt = 2.5, 1.0
 	// agentSilence is how long an agent that was heard may send nothing before its
 	// reports count no more; it reports several times a second.
-	agentSilence = 700 * time.Millisecond
+	agentSilence = 500 * time.Millisecond
 	// waitShare is the share of a route's aim that a request may wait for room.
 	waitShare = 0.25
 	// usualOutage is how long a service is taken to be without endpoints before it
@@ -489,6 +489,14 @@
 	return false
 }
 
+// isSilent reports whether an endpoint's agent was heard before and is silent
+// now, as when their host stands still or is cut off.
+func (s *service) isSilent(e *endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return e.agent && time.Since(e.heard) > agentSilence
+}
+
 // capacity returns the share of the slots that are taken and whether any endpoint
 // takes requests.
 func (s *service) capacity() (taken float64, open bool) {
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/meter"
@@ -78,8 +79,10 @@
 	base        [][][]int
 	baseVersion uint64
 	sent        map[int]sentOrder
-	seen        map[int]uint64
-	starts      map[int]int64
+	// paced is when the maps that were sent have left the link.
+	paced  time.Time
+	seen   map[int]uint64
+	starts map[int]int64
 	// addresses holds where the agents of the ranks are, and direct the ranks that
 	// are asked and ordered straight, since their agents are silent.
 	addresses map[int]netip.AddrPort
@@ -95,6 +98,14 @@
 type sentOrder struct {
 	order group.Order
 	at    time.Time
+	times int
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 func newLead(a *Agent, metrics *meter.Meter) *lead {
@@ -393,6 +404,7 @@
 	if span >= passWindow && passes > 0 {
 		l.passTime = (l.passTime + span/time.Duration(passes)) / 2
 		l.timedPass, l.timedAt = pass, now
+		l.machine.SetPassTime(l.passTime)
 	}
 }
 
@@ -458,7 +470,11 @@
 		if order.Kind == group.Prepare {
 			refresh = prepareRefresh
 		}
-		if last := l.sent[order.Rank]; last.order == order && now.Sub(last.at) < refresh {
+		last := l.sent[order.Rank]
+		if last.order != order {
+			last = sentOrder{order: order}
+		}
+		if now.Sub(last.at) < refresh || (order.Kind == group.Prepare && l.paced.After(now.Add(paceBurst))) {
 			continue
 		}
 		message := &wirepb.RankOrder{
@@ -469,7 +485,7 @@
 				continue
 			}
 			// Whoever doesn't know the map in use gets the whole new one next time.
-			if again := l.sent[order.Rank].order == order; again || l.base == nil {
+			if last.times >= wholeAfter || l.base == nil {
 				if experts == nil {
 					experts = encodePlan(l.plan)
 				}
@@ -481,7 +497,12 @@
 				message.Changes, message.Base = changes, l.baseVersion
 			}
 		}
-		l.sent[order.Rank] = sentOrder{order: order, at: now}
+		if order.Kind == group.Prepare && order.Rank != state.Rank {
+			span := time.Duration(proto.Size(message)) * time.Second / paceBytesPerSecond
+			l.paced = latest(l.paced, now).Add(span)
+		}
+		last.at, last.times = now, last.times+1
+		l.sent[order.Rank] = last
 		if order.Rank == state.Rank {
 			a.carryOut(message)
 			continue
--- a/internal/rank/orders.go
+++ b/internal/rank/orders.go
@@ -22,7 +22,13 @@
 	// prepareKept and prepareRefresh are the same for orders that carry a whole map:
 	// copies take some hundred milliseconds, and a map is some kilobytes.
 	prepareKept    = 1500 * time.Millisecond
-	prepareRefresh = 600 * time.Millisecond
+	prepareRefresh = 250 * time.Millisecond
+	// wholeAfter is how often a map is sent as changes before it is sent whole.
+	wholeAfter = 2
+	// paceBytesPerSecond and paceBurst bound how fast a leader sends maps: the link
+	// of a rank's host may carry 8 Mbit/s, and drops what comes faster.
+	paceBytesPerSecond = 600_000
+	paceBurst          = 20 * time.Millisecond
 	// orderPoll is how often the rank is looked at while it copies experts.
 	orderPoll = 25 * time.Millisecond
 )
--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -77,10 +77,19 @@
 	holdBound    = 2 * time.Second
 	armBound     = 1500 * time.Millisecond
 	settleBound  = 2 * time.Second
-	// usualLead is how many passes ahead a switch is put; each phase takes about
-	// one. slowLead is used while orders get lost.
-	usualLead = 6
-	slowLead  = 10
+	// usualLead is how far ahead a switch is put: the hold and the arming take two
+	// rounds of reports, and a group that reaches the hold before stands still.
+	// slowLead is used while orders get lost, and
+	// leadPerRank is added for each rank: the leader's link and processor take them
+	// one after the other.
+	usualLead   = 280 * time.Millisecond
+	slowLead    = 700 * time.Millisecond
+	leadPerRank = 2500 * time.Microsecond
+	// leastLead and mostLead bound the lead in passes.
+	leastLead = 3
+	mostLead  = 14
+	// usualPass is how long a pass is taken to be before any was timed.
+	usualPass = 50 * time.Millisecond
 )
 
 // Outcome is how a switch ended.
@@ -110,8 +119,10 @@
 	since   time.Time
 	slow    bool
 	began   time.Time
-	missing int
-	next    func(above uint64) uint64
+	// passTime is how long a pass takes, zero if unknown.
+	passTime time.Duration
+	missing  int
+	next     func(above uint64) uint64
 }
 
 // NewLeader returns the leader, beside the rank own, of a group of size ranks.
@@ -129,6 +140,9 @@
 // holds the pass.
 func (l *Leader) armedLast(holder int) int { return (holder + l.size - 1) % l.size }
 
+// SetPassTime tells how long a pass takes.
+func (l *Leader) SetPassTime(span time.Duration) { l.passTime = span }
+
 // Phase returns how far the switch has come.
 func (l *Leader) Phase() Phase { return l.phase }
 
@@ -319,13 +333,22 @@
 		}
 		return orders, Running
 	}
-	lead := uint64(usualLead)
+	l.pass = newestPass(views) + l.lead()
+	l.enter(Holding, now)
+	return l.hold(views, now)
+}
+
+// lead returns how many passes ahead a switch is put.
+func (l *Leader) lead() uint64 {
+	lead, pass := usualLead, l.passTime
 	if l.slow {
 		lead = slowLead
 	}
-	l.pass = newestPass(views) + lead
-	l.enter(Holding, now)
-	return l.hold(views, now)
+	if pass <= 0 {
+		pass = usualPass
+	}
+	lead += time.Duration(l.size) * leadPerRank
+	return uint64(min(mostLead, max(leastLead, (lead+pass-1)/pass)))
 }
 
 // hold has one rank hold the pass of the switch, before anything is armed.
