--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -207,6 +207,7 @@
 func (s *service) loads(tried map[string]bool, now time.Time) []pick.Load {
 	loads := make([]pick.Load, len(s.endpoints))
 	perSecond := s.cold()
+	heard := slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.agent && now.Sub(e.heard) <= agentSilence })
 	for i, e := range s.endpoints {
 		age := time.Duration(-1)
 		if !e.heard.IsZero() {
@@ -222,10 +223,11 @@
 			Failures: e.failing(now),
 			Pace:     e.pace,
 			Local:    e.spec.DataCentre() == s.own,
-			Closed:   e.draining || s.evacuated[e.spec.DataCentre()] || (e.closed && !silent),
-			Spent:    perSecond > 0 && now.Before(e.coldUntil) && e.sentWithin(now, time.Second) >= perSecond,
-			// A host that stands still takes its agent along.
-			Shunned: e.shunned || silent,
+			// A host that stands still takes its agent along, and what is sent there
+			// arrives when nobody waits for it any more.
+			Closed:  e.draining || s.evacuated[e.spec.DataCentre()] || (e.closed && !silent) || (silent && heard),
+			Spent:   perSecond > 0 && now.Before(e.coldUntil) && e.sentWithin(now, time.Second) >= perSecond,
+			Shunned: e.shunned,
 			Tried:   tried[e.spec.ID()],
 		}
 	}
