--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -209,8 +209,8 @@
 			a.discard()
 			return nil, eris.Wrap(err, "no answer came")
 		}
-		a.Status, a.Header, a.Length, a.body = response.StatusCode, response.Header, response.ContentLength, response.Body
-		a.keep = !response.Close && response.ProtoAtLeast(1, 1)
+		a.Status, a.Header, a.Length = response.status, response.header, response.length
+		a.body, a.keep = response.body, response.keep
 		if belongs(a.Status, a.Header) {
 			return a, nil
 		}
@@ -258,23 +258,37 @@
 	return eris.Wrap(err, "the request broke off")
 }
 
+// head is the head of an answer, with its body to be read.
+type head struct {
+	status int
+	header http.Header
+	length int64
+	body   io.ReadCloser
+	keep   bool
+}
+
 // readHead reads the head of the next final answer.
-func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
+func readHead(reader *bufio.Reader, method string) (head, error) {
 	for {
 		response, err := http.ReadResponse(reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return head{}, err
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if response.StatusCode < http.StatusOK {
+			response.Body.Close()
+			continue
 		}
+		return head{
+			status: response.StatusCode, header: response.Header, length: response.ContentLength, body: response.Body,
+			keep: !response.Close && response.ProtoAtLeast(1, 1),
+		}, nil
 	}
 }
 
 // Read reads the body. It returns io.EOF at its proper end only.
 func (a *Answer) Read(buffer []byte) (int, error) {
 	n, err := a.body.Read(buffer)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		a.whole = true
 	}
 	return n, err
--- a/internal/conns/events.go
+++ b/internal/conns/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 
 	"github.com/rotisserie/eris"
@@ -42,7 +43,7 @@
 			return Event{Raw: raw, ID: eventID(raw)}, nil
 		}
 		if r.end != nil {
-			if r.end == io.EOF && len(bytes.TrimSpace(r.pending[r.taken:])) > 0 {
+			if errors.Is(r.end, io.EOF) && len(bytes.TrimSpace(r.pending[r.taken:])) > 0 {
 				return Event{}, ErrEventCut
 			}
 			return Event{}, r.end
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -112,11 +112,11 @@
 	switch {
 	case result == done && r.status < http.StatusInternalServerError:
 		r.service.succeeded(given.endpoint)
-		r.entry.crashes.clear(r.print)
+		r.entry.crashes.clear(r.mark)
 	case result == failed && ctx.Err() == nil:
 		r.service.failed(given.endpoint, reason)
 		if reason != errQuiet.Error() {
-			r.entry.crashes.cut(r.print, given.spec.Incarnation())
+			r.entry.crashes.cut(r.mark, given.spec.Incarnation())
 		}
 	case result == unsent && ctx.Err() == nil, result == failed && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		r.service.failed(given.endpoint, reason)
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -55,24 +55,24 @@
 }
 
 // isBlocked reports whether a request must not run.
-func (c *crashes) isBlocked(print uint64) bool {
+func (c *crashes) isBlocked(mark uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.known[print]
+	s := c.known[mark]
 	return s != nil && len(s.endpoints) >= blockedAt && time.Since(s.last) < suspicionKept
 }
 
 // cut takes note that an incarnation of an endpoint broke off while it ran a
 // request.
-func (c *crashes) cut(print uint64, incarnation string) {
+func (c *crashes) cut(mark uint64, incarnation string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.add(print, incarnation, time.Now())
+	c.add(mark, incarnation, time.Now())
 }
 
 // add adds to a suspicion. The caller holds the lock.
-func (c *crashes) add(print uint64, incarnation string, now time.Time) {
-	s := c.known[print]
+func (c *crashes) add(mark uint64, incarnation string, now time.Time) {
+	s := c.known[mark]
 	if s == nil {
 		if len(c.known) >= maxSuspects {
 			oldest := slices.MinFunc(slices.Collect(maps.Keys(c.known)), func(a, b uint64) int {
@@ -81,7 +81,7 @@
 			delete(c.known, oldest)
 		}
 		s = &suspicion{endpoints: make(map[string]bool)}
-		c.known[print] = s
+		c.known[mark] = s
 	}
 	if s.endpoints[incarnation] {
 		return
@@ -89,15 +89,15 @@
 	s.endpoints[incarnation] = true
 	s.last = now
 	if len(s.endpoints) == blockedAt {
-		event.RequestIsolated.Log(c.logger, zap.Uint64("fingerprint", print), zap.Int("endpoints", len(s.endpoints)))
+		event.RequestIsolated.Log(c.logger, zap.Uint64("fingerprint", mark), zap.Int("endpoints", len(s.endpoints)))
 	}
 }
 
 // clear takes note that a request has run to its end.
-func (c *crashes) clear(print uint64) {
+func (c *crashes) clear(mark uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.known, print)
+	delete(c.known, mark)
 }
 
 // suspects returns what other entries should know.
@@ -105,12 +105,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var told []*wirepb.Suspect
-	for print, s := range c.known {
+	for mark, s := range c.known {
 		if time.Since(s.last) >= suspicionKept {
-			delete(c.known, print)
+			delete(c.known, mark)
 			continue
 		}
-		told = append(told, &wirepb.Suspect{Fingerprint: print, Endpoints: slices.Collect(maps.Keys(s.endpoints))})
+		told = append(told, &wirepb.Suspect{Fingerprint: mark, Endpoints: slices.Collect(maps.Keys(s.endpoints))})
 	}
 	return told
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -34,7 +34,7 @@
 	target   string
 	host     string
 	body     []byte
-	print    uint64
+	mark     uint64
 	began    time.Time
 	deadline time.Time
 
@@ -120,8 +120,8 @@
 		r.team = team
 	}
 	r.service = r.entry.service(r.route.Service(xxhash.Sum64String(r.call.ID)))
-	r.print = fingerprint(r.method, r.target, r.team.Name(), r.body)
-	if r.entry.crashes.isBlocked(r.print) {
+	r.mark = fingerprint(r.method, r.target, r.team.Name(), r.body)
+	if r.entry.crashes.isBlocked(r.mark) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "endpoints have died under this request"}
 	}
 	patience := defaultPatience
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -499,23 +499,6 @@
 	return e.agent && time.Since(e.heard) > agentSilence
 }
 
-// capacity returns the share of the slots that are taken and whether any endpoint
-// takes requests.
-func (s *service) capacity() (taken float64, open bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	busy, slots := 0, 0
-	for _, load := range s.loads(nil, time.Now()) {
-		if !load.Closed {
-			busy, slots, open = busy+load.Busy(), slots+load.Slots, true
-		}
-	}
-	if slots == 0 {
-		return 1, open
-	}
-	return float64(busy) / float64(slots), open
-}
-
 // erred takes note of an error in an endpoint's answer.
 func (s *service) erred(e *endpoint) {
 	s.mu.Lock()
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -59,7 +59,6 @@
 	agent    *Agent
 	mu       sync.Mutex
 	follows  netip.AddrPort
-	ownSince time.Time
 	leaderAt time.Time
 	low      int
 	leads    bool
--- a/pkg/place/rebalance.go
+++ b/pkg/place/rebalance.go
@@ -144,7 +144,8 @@
 		held := r.m.ranks[to]
 		toHasRoom := r.newOn(to) < r.bounds.NewPerRank
 		for _, add := range r.m.ranks[full] {
-			if slices.Contains(held, add) || !(toHasRoom || slices.Contains(r.before.ranks[to], add)) {
+			mayLoad := toHasRoom || slices.Contains(r.before.ranks[to], add)
+			if slices.Contains(held, add) || !mayLoad {
 				continue
 			}
 			if len(held) < r.bounds.Places {
