internal/edge: a request that has run isn't accused again, and a started entry learns from peers that greet it

And an entry that started while the store turned it away answered 503 though peers knew the table: it asked only members it had read of.

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -31,6 +31,9 @@
 
 	mu    sync.Mutex
 	known map[uint64]*suspicion
+	// cleared holds when requests were last seen to run to their end: what others
+	// hold against them counts no more.
+	cleared map[uint64]time.Time
 }
 
 // suspicion is what is held against a request.
@@ -40,7 +43,7 @@
 }
 
 func newCrashes(logger *zap.Logger) *crashes {
-	return &crashes{logger: logger, known: make(map[uint64]*suspicion)}
+	return &crashes{logger: logger, known: make(map[uint64]*suspicion), cleared: make(map[uint64]time.Time)}
 }
 
 // fingerprint names a request across callers' attempts.
@@ -97,13 +100,17 @@
 func (c *crashes) clear(mark uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.known, mark)
+	if c.known[mark] != nil {
+		delete(c.known, mark)
+		c.cleared[mark] = time.Now()
+	}
 }
 
 // suspects returns what other entries should know.
 func (c *crashes) suspects() []*wirepb.Suspect {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	maps.DeleteFunc(c.cleared, func(_ uint64, at time.Time) bool { return time.Since(at) >= suspicionKept })
 	var told []*wirepb.Suspect
 	for mark, s := range c.known {
 		if time.Since(s.last) >= suspicionKept {
@@ -120,6 +127,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, suspect := range told {
+		if _, cleared := c.cleared[suspect.GetFingerprint()]; cleared {
+			continue
+		}
 		for _, incarnation := range suspect.GetEndpoints() {
 			c.add(suspect.GetFingerprint(), incarnation, time.Now())
 		}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -43,6 +43,7 @@
 	ahead   uint64
 	aheadAt time.Time
 	from    string
+	fromAt  netip.AddrPort
 	told    int
 	relay   time.Time
 	// wake is signalled when a peer is ahead.
@@ -191,7 +192,7 @@
 func (p *peers) receive(from netip.AddrPort, message *wirepb.Datagram) {
 	switch body := message.GetBody().(type) {
 	case *wirepb.Datagram_Hello:
-		p.heardHello(body.Hello)
+		p.heardHello(from, body.Hello)
 	case *wirepb.Datagram_Load:
 		for _, s := range p.entry.allServices() {
 			if s.heardFrom(from.Addr(), body.Load) {
@@ -201,7 +202,7 @@
 	}
 }
 
-func (p *peers) heardHello(hello *wirepb.Hello) {
+func (p *peers) heardHello(from netip.AddrPort, hello *wirepb.Hello) {
 	p.entry.crashes.learn(hello.GetSuspects())
 	known := p.entry.follower.revision()
 	if hello.GetWatching() {
@@ -221,7 +222,7 @@
 		p.aheadAt = now
 	}
 	if hello.GetRevision() >= p.ahead {
-		p.ahead, p.from = hello.GetRevision(), hello.GetName()
+		p.ahead, p.from, p.fromAt = hello.GetRevision(), hello.GetName(), from
 	}
 	select {
 	case p.wake <- struct{}{}:
@@ -236,22 +237,19 @@
 	relies := !p.entry.follower.watches()
 	p.mu.Lock()
 	due := p.ahead > known && (relies || time.Since(p.aheadAt) > fetchAfter)
-	name := p.from
+	name, address := p.from, p.fromAt
 	p.mu.Unlock()
 	if !due {
 		return
 	}
-	for _, member := range p.entry.picture.Load().Members() {
-		if member.Name() != name {
-			continue
-		}
-		if news, err := p.fetch(ctx, member.Peers(), known); err == nil {
-			p.entry.follower.learn(news, name)
-		} else {
-			event.SessionDialFail.Log(p.entry.logger, zap.String("peer", name), event.Error(err))
-		}
+	// The peer's address is that of its datagram: a process that has just started
+	// knows no members yet.
+	news, err := p.fetch(ctx, address.String(), known)
+	if err != nil {
+		event.SessionDialFail.Log(p.entry.logger, zap.String("peer", name), event.Error(err))
 		return
 	}
+	p.entry.follower.learn(news, name)
 }
 
 // fetch asks the entry at address for its picture.
