internal/edge, internal/rank, pkg/group: files split by what they do; fields that nothing reads removed

The line of waiting requests, the planning of maps and the resolution of switches stand in files of their own. No behaviour changes; tests of the packages as before.

--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"context"
-	"errors"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -92,29 +90,6 @@
 	spec     *table.Endpoint
 }
 
-// waiter is a request that waits for room.
-type waiter struct {
-	ticket
-	turn chan seat
-}
-
-// ticket describes a request that wants an endpoint.
-type ticket struct {
-	priority int
-	// returning callers were refused before and don't come again.
-	returning bool
-	patience  time.Duration
-	tried     map[string]bool
-}
-
-// before reports whether a request goes before another that came earlier.
-func (t ticket) before(other ticket) bool {
-	if t.priority != other.priority {
-		return t.priority < other.priority
-	}
-	return t.returning && !other.returning
-}
-
 // service holds the endpoints of a service and the requests that wait for them.
 type service struct {
 	name   string
@@ -269,128 +244,6 @@
 	return seat{endpoint: e, spec: e.spec}, pick.Chosen
 }
 
-// noteOutage learns how long the service is without endpoints. The caller holds
-// the lock.
-func (s *service) noteOutage(closed bool, now time.Time) {
-	switch {
-	case closed && s.closedAt.IsZero():
-		s.closedAt = now
-	case !closed && !s.closedAt.IsZero():
-		s.outage = (s.expectedOutage() + now.Sub(s.closedAt)) / 2
-		s.closedAt = time.Time{}
-	}
-}
-
-func (s *service) expectedOutage() time.Duration {
-	if s.outage == 0 {
-		return usualOutage
-	}
-	return s.outage
-}
-
-// back returns when a caller who was refused with cause may come back: when there
-// should be room again, spread so that not all come at once.
-func (s *service) back(cause error) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	back := leastBack
-	if errors.Is(cause, errNone) && !s.closedAt.IsZero() {
-		back = max(back, s.expectedOutage()-time.Since(s.closedAt))
-	}
-	return back + rand.N(leastBack)
-}
-
-// place returns an endpoint for a request, after a wait of at most the ticket's
-// patience. It refuses at once what would wait longer, and those who can come
-// back when there is no endpoint at all.
-func (s *service) place(ctx context.Context, t ticket) (seat, error) {
-	now := time.Now()
-	s.mu.Lock()
-	ahead := 0
-	for _, w := range s.waiting {
-		if !t.before(w.ticket) {
-			ahead++
-		}
-	}
-	verdict := pick.Full
-	if ahead == 0 {
-		var given seat
-		if given, verdict = s.take(t.tried, now); verdict == pick.Chosen {
-			s.mu.Unlock()
-			return given, nil
-		}
-	}
-	if reason := s.refuses(t, verdict, ahead, now); reason != nil {
-		s.mu.Unlock()
-		return seat{}, reason
-	}
-	w := &waiter{ticket: t, turn: make(chan seat, 1)}
-	s.waiting = append(s.waiting, w)
-	s.mu.Unlock()
-	timer := time.NewTimer(t.patience)
-	defer timer.Stop()
-	select {
-	case given := <-w.turn:
-		return given, nil
-	case <-timer.C:
-		return s.leave(w, errLate)
-	case <-ctx.Done():
-		given, err := s.leave(w, ctx.Err())
-		if err == nil {
-			s.release(given.endpoint)
-			err = ctx.Err()
-		}
-		return seat{}, err
-	}
-}
-
-// refuses returns why a request had better not wait, nil if it may. The caller
-// holds the lock.
-func (s *service) refuses(t ticket, verdict pick.Verdict, ahead int, now time.Time) error {
-	if verdict == pick.None {
-		reopens := s.closedAt.Add(s.expectedOutage())
-		if !t.returning || s.closedAt.IsZero() || len(t.tried) > 0 || reopens.Sub(now) > t.patience {
-			return errNone
-		}
-		return nil
-	}
-	if s.finished.at(now)*t.patience.Seconds() < float64(ahead+1) {
-		return errFull
-	}
-	return nil
-}
-
-// leave takes a waiter out of the line, unless its turn has just come.
-func (s *service) leave(w *waiter, reason error) (seat, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if at := slices.Index(s.waiting, w); at >= 0 {
-		s.waiting = slices.Delete(s.waiting, at, at+1)
-		return seat{}, reason
-	}
-	return <-w.turn, nil
-}
-
-// serveWaiting gives room to those who wait, by priority and then by time. The
-// caller holds the lock.
-func (s *service) serveWaiting(now time.Time) {
-	for len(s.waiting) > 0 {
-		next := 0
-		for i, w := range s.waiting {
-			if w.before(s.waiting[next].ticket) {
-				next = i
-			}
-		}
-		w := s.waiting[next]
-		given, verdict := s.take(w.tried, now)
-		if verdict != pick.Chosen {
-			return
-		}
-		s.waiting = slices.Delete(s.waiting, next, next+1)
-		w.turn <- given
-	}
-}
-
 // groupRefused takes note that a rank refused a request though it had room: the
 // group doesn't run.
 func (s *service) groupRefused(e *endpoint) {
--- a/internal/webio/exchange.go
+++ b/internal/webio/exchange.go
@@ -44,9 +44,6 @@
 // closeAfter ends the connection after the answer.
 func (e *Exchange) closeAfter() { e.request.Close = true }
 
-// Answered reports whether an answer has begun.
-func (e *Exchange) Answered() bool { return e.answered }
-
 // PassOn answers with a whole body and exactly the given headers, beside those
 // that frame the answer. The connection is kept unless the caller wants it closed
 // or the server stops.
