pkg/belief: a peer isn't told only changes where removals may be unknown

Change: Since answers only from the last full read on, or the first news; before that the whole picture is sent. The test's watch now shows the removal of keys that came and went between two calls, as the store's events do: it collapsed them, which the platform's page doesn't.

--- a/pkg/belief/belief.go
+++ b/pkg/belief/belief.go
@@ -103,7 +103,7 @@
 	removed  map[string]removal
 	table    *table.Table
 	revision uint64
-	// forgotten is the newest revision of a removal that is remembered no more.
+	// forgotten is the newest revision up to which removals may be unknown.
 	forgotten uint64
 	current   *Picture
 	findings  []Finding
@@ -181,6 +181,8 @@
 		s.remove(key, snapshot.Revision(), now, afterGap)
 	}
 	s.revision = snapshot.Revision()
+	// Keys that came and went before the read were never heard of here.
+	s.forgotten = max(s.forgotten, snapshot.Revision())
 	s.publish(now)
 	return true
 }
@@ -194,6 +196,9 @@
 			s.write(change.Pair())
 		}
 	}
+	if s.revision == 0 {
+		s.forgotten = max(s.forgotten, revision)
+	}
 	s.revision = max(s.revision, revision)
 	s.publish(now)
 }
--- a/pkg/belief/belief_test.go
+++ b/pkg/belief/belief_test.go
@@ -125,12 +125,14 @@
 }
 
 // changes returns what a watch shows from after to revision: the last change of
-// each key.
+// each key, also of those that came and went in between.
 func (h *history) changes(after, revision uint64) []store.Change {
 	var changes []store.Change
-	before, now := map[string]store.Pair{}, h.states[revision-1]
-	if after > 0 {
-		before = h.states[after-1]
+	before, now := make(map[string]bool), h.states[revision-1]
+	for at := max(after, 1); at <= revision; at++ {
+		for key := range h.states[at-1] {
+			before[key] = true
+		}
 	}
 	for _, p := range now {
 		if p.Revision() > after {
