--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -176,7 +176,7 @@
 		var agents []netip.AddrPort
 		body := &wirepb.Subscribe{
 			Sets: uint32(engine.Sets), Experts: uint32(engine.Experts), Places: uint32(engine.Places),
-			Spare: uint32(engine.Spare), ExpertMb: engine.ExpertMB, LinkMbps: engine.LinkMbps,
+			Spare:   uint32(engine.Spare),
 			PauseMs: uint32(picture.Table().ShortestPause(service.Name()).Milliseconds()),
 		}
 		for _, endpoint := range picture.Endpoints(service.Name()) {
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -52,7 +52,7 @@
 // fail wherever they run.
 const erredWeight = 0.3
 
-// Errors of place. Both mean that nothing was sent.
+// Errors of place. All of them mean that nothing was sent.
 var (
 	errFull = eris.New("all endpoints are busy")
 	errNone = eris.New("no endpoint takes requests")
@@ -84,6 +84,12 @@
 	return e.failures * math.Exp2(-now.Sub(e.failedAt).Seconds()/failureHalfLife.Seconds())
 }
 
+// blame adds to the failures.
+func (e *endpoint) blame(weight float64) {
+	now := time.Now()
+	e.failures, e.failedAt = e.failing(now)+weight, now
+}
+
 // seat is a request's place at an endpoint, as that was when it was given.
 type seat struct {
 	endpoint *endpoint
@@ -279,8 +285,7 @@
 func (s *service) failed(e *endpoint, reason string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	e.failures, e.failedAt = e.failing(now)+1, now
+	e.blame(1)
 	if !e.shunned && e.failures >= shunAt {
 		e.shunned = true
 		event.EndpointShunned.Log(s.logger, zap.String("endpoint", e.spec.ID()), zap.String("reason", reason),
@@ -356,6 +361,5 @@
 func (s *service) erred(e *endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	e.failures, e.failedAt = e.failing(now)+erredWeight, now
+	e.blame(erredWeight)
 }
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -210,12 +210,11 @@
 type counter struct {
 	start int64
 	last  []uint64
-	at    time.Time
 }
 
-// since returns what was added to counts, and over which span, nil at first and
-// after a start of the rank.
-func (c *counter) since(counts []uint64, start int64, now time.Time) ([]uint32, time.Duration) {
+// since returns what was added to counts, nil at first and after a start of the
+// rank.
+func (c *counter) since(counts []uint64, start int64) []uint32 {
 	known := c.start == start && len(c.last) == len(counts)
 	var added []uint32
 	if known {
@@ -226,9 +225,8 @@
 			}
 		}
 	}
-	span := now.Sub(c.at)
-	c.start, c.last, c.at = start, counts, now
-	return added, span
+	c.start, c.last = start, counts
+	return added
 }
 
 // report tells the group's leader what the rank does.
@@ -251,10 +249,10 @@
 	if counting != rest {
 		if counts, _, err := a.rank.Counts(ctx); err == nil {
 			a.mu.Lock()
-			added, span := a.counts.since(counts, state.Start, time.Now())
+			added := a.counts.since(counts, state.Start)
 			a.mu.Unlock()
 			if counting == tell {
-				message.Counts, message.SpanMs = added, uint32(span.Milliseconds())
+				message.Counts = added
 			}
 		}
 	}
@@ -288,13 +286,9 @@
 	load := &wirepb.Load{
 		Running:   uint32(state.Running),
 		Waiting:   uint32(state.Waiting),
-		KvUsed:    uint64(state.KVUsed),
-		KvTotal:   uint64(state.KVTotal),
 		Pace:      state.Pace,
 		Open:      state.Open || state.Size == 0,
 		Reachable: !a.unreachable,
-		Epoch:     state.Epoch,
-		ExpertMap: state.Map,
 	}
 	a.mu.Unlock()
 	a.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Load{Load: load}}, entries...)
--- a/internal/rank/direct.go
+++ b/internal/rank/direct.go
@@ -89,6 +89,6 @@
 	return &wirepb.RankReport{
 		Group: state.Group, Epoch: state.Epoch, Rank: uint32(state.Rank), Size: uint32(state.Size), Open: state.Open,
 		Start: state.Start, Pass: state.Pass, ExpertMap: state.Map, Prepared: state.Prepared, Armed: state.Armed,
-		ArmedPass: state.ArmedPass, Held: state.IsHeld, HeldPass: state.Held, Running: uint32(state.Running),
+		ArmedPass: state.ArmedPass, Held: state.IsHeld, HeldPass: state.Held,
 	}
 }
--- a/internal/rank/rank_test.go
+++ b/internal/rank/rank_test.go
@@ -114,7 +114,7 @@
 // subscribe asks all agents for reports, again and again.
 func (f *fleet) subscribe() {
 	message := &wirepb.Datagram{Body: &wirepb.Datagram_Subscribe{Subscribe: &wirepb.Subscribe{
-		Agents: f.peers, Sets: sets, Experts: experts, Places: places, Spare: 3, ExpertMb: 1, LinkMbps: 1000, PauseMs: 120,
+		Agents: f.peers, Sets: sets, Experts: experts, Places: places, Spare: 3, PauseMs: 120,
 	}}}
 	done := make(chan struct{})
 	f.t.Cleanup(func() { close(done) })
--- a/pkg/belief/belief.go
+++ b/pkg/belief/belief.go
@@ -204,7 +204,11 @@
 }
 
 // Confirm takes note that the picture was current at the time now.
-func (s *State) Confirm(now time.Time) { s.publish(now) }
+func (s *State) Confirm(now time.Time) {
+	confirmed := *s.current
+	confirmed.confirmed = now
+	s.current = &confirmed
+}
 
 // Expire ends the grace of entries that lapsed and reports whether any did.
 func (s *State) Expire(now time.Time) bool {
