internal/conns: a connection is kept once its request's body is written

Close looked whether the goroutine that writes a long body had reported its end; that report can come after the answer, when the goroutine isn't scheduled in between, and the connection was closed though nothing was wrong with it. Ruled out: the test's stand-in (it reads each body whole before it answers). Change: Close waits for that report aside, for 1 s at most, and then keeps or closes the connection. The metric lentilstand_active has connections_idle.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -40,6 +40,10 @@
 	// inlineBodyBytes is what fits the send buffers, so that writing it can't wait
 	// for an endpoint that answers before it reads.
 	inlineBodyBytes = 16 << 10
+	// writeBound is how long the rest of a body may take after its answer has come.
+	// Bodies cross the link in milliseconds; an endpoint that reads slower gets its
+	// next request on another connection.
+	writeBound = time.Second
 	// maxIdlePerEndpoint bounds the connections that are kept to one endpoint.
 	maxIdlePerEndpoint = 24
 )
@@ -84,6 +88,17 @@
 	return p.opened
 }
 
+// Idle returns how many connections are kept for further requests.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, idle := range p.idle {
+		count += len(idle)
+	}
+	return count
+}
+
 // Prune closes the idle connections whose time is up, and those to addresses
 // that keep refuses.
 func (p *Pool) Prune(now time.Time, keep func(netip.AddrPort) bool) {
@@ -295,13 +310,33 @@
 }
 
 // Close ends the answer. The connection is kept if the whole answer was read and
-// nothing is left on it.
+// nothing is left on it. An answer can come before the whole request is written;
+// the connection is then kept once it is.
 func (a *Answer) Close() {
 	stopped := a.stop()
-	if !a.whole || !a.keep || !stopped || a.conn.reader.Buffered() > 0 || !a.written() {
+	if !a.whole || !a.keep || !stopped || a.conn.reader.Buffered() > 0 {
+		_ = a.conn.Close()
+		return
+	}
+	if a.writing == nil {
+		a.keepConn()
+		return
+	}
+	if err := a.conn.SetWriteDeadline(time.Now().Add(writeBound)); err != nil {
 		_ = a.conn.Close()
 		return
 	}
+	go func() {
+		if err := <-a.writing; err != nil {
+			_ = a.conn.Close()
+			return
+		}
+		a.keepConn()
+	}()
+}
+
+// keepConn keeps the connection for a further request.
+func (a *Answer) keepConn() {
 	bound := idleBound
 	if _, text, ok := strings.Cut(a.Header.Get("Keep-Alive"), "timeout="); ok {
 		text, _, _ = strings.Cut(text, ",")
@@ -309,23 +344,14 @@
 			bound = time.Duration(float64(seconds) * idleShare * float64(time.Second))
 		}
 	}
+	if err := a.conn.SetWriteDeadline(time.Time{}); err != nil {
+		_ = a.conn.Close()
+		return
+	}
 	a.conn.until = time.Now().Add(bound)
 	a.pool.put(a.conn)
 }
 
-// written reports whether the whole request has been sent.
-func (a *Answer) written() bool {
-	if a.writing == nil {
-		return true
-	}
-	select {
-	case err := <-a.writing:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 func (a *Answer) discard() {
 	a.stop()
 	_ = a.conn.Close()
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -94,13 +94,85 @@
 				got, err := send(&pool, address, strings.Repeat("x", 40<<10))
 				require.NoError(t, err)
 				require.Equal(t, want, got)
-				time.Sleep(20 * time.Millisecond)
+				if tc.opened == 1 {
+					require.Eventually(t, func() bool { return pool.Idle() == 1 }, 2*time.Second, time.Millisecond)
+				} else {
+					time.Sleep(20 * time.Millisecond)
+				}
 			}
 			require.Equal(t, tc.opened, pool.Opened())
 		})
 	}
 }
 
+// TestAConnectionIsKeptOnceTheBodyIsWritten has endpoints that answer before they
+// read the body: one reads on later, one never does.
+func TestAConnectionIsKeptOnceTheBodyIsWritten(t *testing.T) {
+	const bodyBytes = 8 << 20
+	for name, reads := range map[string]bool{"read later": true, "never read": false} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			readOn := make(chan struct{})
+			served := make(chan error, 1)
+			go func() { served <- answerEarly(listener, readOn, bodyBytes) }()
+			var pool conns.Pool
+			address := netip.MustParseAddrPort(listener.Addr().String())
+			got, err := send(&pool, address, strings.Repeat("x", bodyBytes))
+			require.NoError(t, err)
+			require.Equal(t, "a", got)
+			require.Zero(t, pool.Idle(), "the body isn't written yet")
+			if !reads {
+				require.Never(t, func() bool { return pool.Idle() > 0 }, 1500*time.Millisecond, 50*time.Millisecond)
+				close(readOn)
+				require.Error(t, <-served, "the connection was given up inside the body")
+				return
+			}
+			close(readOn)
+			require.Eventually(t, func() bool { return pool.Idle() == 1 }, 2*time.Second, time.Millisecond)
+			got, err = send(&pool, address, "y")
+			require.NoError(t, err)
+			require.Equal(t, "b", got)
+			require.NoError(t, <-served)
+			require.Equal(t, int64(1), pool.Opened())
+		})
+	}
+}
+
+// answerEarly answers a request before it reads the body, and a second one after.
+func answerEarly(listener net.Listener, readOn <-chan struct{}, bodyBytes int) error {
+	defer listener.Close()
+	conn, err := listener.Accept()
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return err
+	}
+	if _, err := io.WriteString(conn, ok("own", "a")); err != nil {
+		return err
+	}
+	<-readOn
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return err
+	}
+	if len(body) != bodyBytes {
+		return io.ErrUnexpectedEOF
+	}
+	if request, err = http.ReadRequest(reader); err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return err
+	}
+	_, err = io.WriteString(conn, ok("own", "b"))
+	return err
+}
+
 func TestSendTellsWhatCannotHaveRun(t *testing.T) {
 	var pool conns.Pool
 	_, err := send(&pool, netip.MustParseAddrPort("127.0.0.1:1"), "")
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -108,6 +108,7 @@
 	metrics.Gauge("lentilstand_active", "Requests that are being served.", "what", func(report func(int64, string)) {
 		report(e.active.Load(), "requests")
 		report(e.pool.Opened(), "connections_opened")
+		report(int64(e.pool.Idle()), "connections_idle")
 	})
 	return e, nil
 }
