--- a/pkg/store/change.go
+++ b/pkg/store/change.go
@@ -1,5 +1,11 @@
 package store
 
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
 // Change is a pair that was written, or a key that was removed.
 type Change struct {
 	pair    Pair
@@ -19,3 +25,25 @@
 
 // IsRemoved reports whether the key was removed.
 func (c Change) IsRemoved() bool { return c.removed }
+
+// After returns the snapshot with changes that follow it, as of revision. A key
+// never goes back to an older revision.
+func (s Snapshot) After(changes []Change, revision uint64) Snapshot {
+	pairs := make(map[string]Pair, len(s.pairs))
+	for _, pair := range s.pairs {
+		pairs[pair.key] = pair
+	}
+	for _, change := range changes {
+		key := change.pair.key
+		if pairs[key].revision > change.pair.revision {
+			continue
+		}
+		if change.removed {
+			delete(pairs, key)
+		} else {
+			pairs[key] = change.pair
+		}
+	}
+	sorted := slices.SortedFunc(maps.Values(pairs), func(a, b Pair) int { return strings.Compare(a.key, b.key) })
+	return NewSnapshot(sorted, revision)
+}
