internal/edge, internal/rank: streams leave a silent endpoint sooner and go first elsewhere; orders are given again after 20 ms

Ruled out: a hold that stands for the whole freeze (it was fenced after 1.1 s). Change: a stream is moved after 500 ms of silence (700), may stand at an endpoint beyond the usual extra, waits as long as a returning caller, and is told to the endpoint as most urgent. An order without an answer is given again beside the first after 20 ms (maps: 60 ms), four times at most.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -69,6 +69,9 @@
 			event.RetryDenied.Log(e.logger, zap.String("request", r.call.ID), zap.String("service", r.service.name))
 			break
 		}
+		if ticket.resuming = r.resumes(relay); ticket.resuming {
+			ticket.patience = min(returningWait, time.Until(r.deadline)/2)
+		}
 		given, err := r.service.place(ctx, ticket)
 		if err != nil {
 			if sends == 0 {
@@ -107,6 +110,20 @@
 	r.giveUp(ctx, relay, held)
 }
 
+// resumes reports whether the request is a stream that has begun, or waited for
+// its first event, at another endpoint.
+func (r *request) resumes(relay *relay) bool {
+	return r.route.Repeat() == table.Stream && (r.call.LastEvent != "" || relay.stream != nil || r.ran)
+}
+
+// urgency returns how urgent an endpoint is told that the request is.
+func (r *request) urgency(relay *relay) int {
+	if r.resumes(relay) {
+		return 0
+	}
+	return min(maxUrgency, max(0, r.team.Priority(r.route)))
+}
+
 // judge takes note of what an attempt says of its endpoint and of the request.
 func (r *request) judge(ctx context.Context, given seat, result ending, reason string) {
 	switch {
@@ -174,9 +191,9 @@
 const (
 	// quietBound is how long an endpoint may send nothing, while its agent is silent
 	// too, before the request goes on elsewhere: callers leave after two seconds.
-	quietBound = 700 * time.Millisecond
+	quietBound = 500 * time.Millisecond
 	// quietCheck is how often that is looked at.
-	quietCheck = 200 * time.Millisecond
+	quietCheck = 100 * time.Millisecond
 )
 
 // errQuiet says that an endpoint and its agent have fallen silent.
@@ -240,7 +257,7 @@
 			Team:       r.team.Name(),
 			Remaining:  time.Until(r.deadline),
 			LastEvent:  lastEvent,
-			Urgency:    min(maxUrgency, max(0, r.team.Priority(r.route))),
+			Urgency:    r.urgency(relay),
 		}),
 	}
 	var reply platform.Reply
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -297,6 +297,20 @@
 	require.Equal(t, want.String(), body)
 }
 
+func TestAStreamThatGoesOnElsewhereIsUrgentThere(t *testing.T) {
+	s := startSite(t, "i-1", "i-2")
+	s.script.Add(fakes.CutEvent)
+	got := s.call(0, http.MethodPost, "/draft/1", "", tokens)
+	require.NoError(t, got.err)
+	urgency := make(map[string]string)
+	for _, r := range s.replicas {
+		for _, seen := range r.Seen() {
+			urgency[seen.Header.Get("Last-Event-Id")] = seen.Header.Get("Lentilstand-Request-Priority")
+		}
+	}
+	require.Equal(t, map[string]string{"": "1", "2": "0"}, urgency)
+}
+
 func TestAStreamThatCannotGoOnEndsUnfinished(t *testing.T) {
 	s := startSite(t, "i-1")
 	s.script.Add(fakes.CutEvent)
--- a/internal/edge/queue.go
+++ b/internal/edge/queue.go
@@ -56,7 +56,7 @@
 	verdict := pick.Full
 	if ahead == 0 {
 		var given seat
-		if given, verdict = s.take(t.tried, now); verdict == pick.Chosen {
+		if given, verdict = s.take(t, now); verdict == pick.Chosen {
 			s.mu.Unlock()
 			return given, nil
 		}
@@ -123,7 +123,7 @@
 			}
 		}
 		w := s.waiting[next]
-		given, verdict := s.take(w.tried, now)
+		given, verdict := s.take(w.ticket, now)
 		if verdict != pick.Chosen {
 			return
 		}
@@ -143,12 +143,17 @@
 	priority int
 	// returning callers were refused before and don't come again.
 	returning bool
-	patience  time.Duration
+	// resuming streams have begun at another endpoint.
+	resuming bool
+	patience time.Duration
 	tried     map[string]bool
 }
 
 // before reports whether a request goes before another that came earlier.
 func (t ticket) before(other ticket) bool {
+	if t.resuming != other.resuming {
+		return t.resuming
+	}
 	if t.priority != other.priority {
 		return t.priority < other.priority
 	}
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -25,6 +25,10 @@
 	engineExtra = 2
 	// plainExtra is the same for endpoints of plain services.
 	plainExtra = 4
+	// resumeExtra is how many streams that go on from another endpoint may stand at
+	// one beyond that: their callers have a part of the answer and leave after two
+	// seconds of silence, and they go first there.
+	resumeExtra = 4
 	// failureHalfLife is how fast a failure is forgotten.
 	failureHalfLife = 2 * time.Second
 	// shunAt and trustAt are the failures at which an endpoint is shunned and trusted
@@ -227,16 +231,19 @@
 
 // take chooses an endpoint and counts the request there. The caller holds the
 // lock.
-func (s *service) take(tried map[string]bool, now time.Time) (seat, pick.Verdict) {
+func (s *service) take(t ticket, now time.Time) (seat, pick.Verdict) {
 	extra := plainExtra
 	if s.engine {
 		extra = engineExtra
 	}
+	if t.resuming {
+		extra += resumeExtra
+	}
 	at, verdict := -1, pick.None
 	if !s.engine || now.Sub(s.refusedAt) >= groupRefusal {
-		at, verdict = pick.Choose(s.loads(tried, now), extra, rand.Uint64())
+		at, verdict = pick.Choose(s.loads(t.tried, now), extra, rand.Uint64())
 	}
-	if len(tried) == 0 {
+	if len(t.tried) == 0 {
 		s.noteOutage(verdict == pick.None, now)
 	}
 	if verdict != pick.Chosen {
--- a/internal/rank/orders.go
+++ b/internal/rank/orders.go
@@ -29,6 +29,13 @@
 	// of a rank's host may carry 8 Mbit/s, and drops what comes faster.
 	paceBytesPerSecond = 600_000
 	paceBurst          = 20 * time.Millisecond
+	// orderHedge is how long an order may go without an answer before it is given
+	// again beside it, maxHedges times at most: a rank on the same host answers in
+	// about a millisecond, a group waits for the last of its ranks, and whichever
+	// copy comes later finds the state that it asks for. A map takes longer to read.
+	orderHedge   = 20 * time.Millisecond
+	prepareHedge = 60 * time.Millisecond
+	maxHedges    = 4
 	// orderPoll is how often the rank is looked at while it copies experts.
 	orderPoll = 25 * time.Millisecond
 )
@@ -118,7 +125,7 @@
 			a.mu.Lock()
 			plan := a.plans.find(order.GetVersion())
 			a.mu.Unlock()
-			switch err := give(ctx, a.rank, order, plan); {
+			switch err := giveHedged(ctx, a.rank, order, plan); {
 			case err == nil:
 				accepted = order
 			case errors.Is(err, platform.ErrNoAnswer):
@@ -135,6 +142,38 @@
 }
 
 // give gives an order to a rank, for Prepare with the map by set and rank.
+// giveHedged gives an order and, as long as no answer comes, gives it again. It
+// returns the first answer.
+func giveHedged(ctx context.Context, rank *platform.Rank, order *wirepb.RankOrder, plan [][][]int) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	hedge := orderHedge
+	if order.GetKind() == wirepb.RankOrder_KIND_PREPARE {
+		hedge = prepareHedge
+	}
+	answers := make(chan error, 1+maxHedges)
+	start := func() { answers <- give(ctx, rank, order, plan) }
+	go start()
+	ticker := time.NewTicker(hedge)
+	defer ticker.Stop()
+	for given, unanswered := 1, 0; ; {
+		select {
+		case <-ticker.C:
+			if given <= maxHedges {
+				given++
+				go start()
+			}
+		case err := <-answers:
+			if !errors.Is(err, platform.ErrNoAnswer) {
+				return err
+			}
+			if unanswered++; unanswered == given {
+				return err
+			}
+		}
+	}
+}
+
 func give(ctx context.Context, rank *platform.Rank, order *wirepb.RankOrder, plan [][][]int) error {
 	switch order.GetKind() {
 	case wirepb.RankOrder_KIND_PREPARE:
--- /dev/null
+++ b/internal/rank/orders_test.go
@@ -0,0 +1,54 @@
+package rank
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lentilstand/lentilstand/internal/wirepb"
+	"github.com/lentilstand/lentilstand/platform"
+)
+
+// TestAnOrderWithoutAnAnswerIsGivenAgainSoon has a rank that leaves orders
+// unanswered. The group waits for the last of its ranks, so that two lost answers
+// must cost less than one timeout of a call, 150 ms.
+func TestAnOrderWithoutAnAnswerIsGivenAgainSoon(t *testing.T) {
+	testCases := []struct {
+		name   string
+		lost   int32
+		status int
+		want   error
+		within time.Duration
+	}{
+		{name: "answered", status: http.StatusOK, within: 100 * time.Millisecond},
+		{name: "two are lost", lost: 2, status: http.StatusOK, within: 150 * time.Millisecond},
+		{name: "unfit", lost: 1, status: http.StatusConflict, want: platform.ErrUnfit, within: 150 * time.Millisecond},
+		{name: "all are lost", lost: 100, status: http.StatusOK, want: platform.ErrNoAnswer, within: time.Second},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			var calls atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if calls.Add(1) <= tc.lost {
+					<-r.Context().Done()
+					return
+				}
+				w.WriteHeader(tc.status)
+			}))
+			defer server.Close()
+			order := &wirepb.RankOrder{Kind: wirepb.RankOrder_KIND_ARM, Epoch: 1, Version: 2, Pass: 3}
+			began := time.Now()
+			err := giveHedged(context.Background(), platform.NewRank(server.Listener.Addr().String()), order, nil)
+			require.ErrorIs(t, err, tc.want)
+			require.Less(t, time.Since(began), tc.within)
+			require.LessOrEqual(t, calls.Load(), int32(1+maxHedges))
+		})
+	}
+}
