internal/rank, pkg/group: a fence is the map of one version, and is renewed when ranks refuse it

Where a switch had just been made, some reports were still of the map before, and the mixture had experts on no rank. The ranks refused it for good, the agents took the refusal for done without a line, and the leader gave the same fence again without end, while the hold kept all passes back until it was ended by other means. Change: the map in use is the one that this agent was told for its rank's version; reports are used only if all are of that version and epoch. A fence that isn't prepared after 1 s gets a newer version. A refused order is logged (order_refused, 7013).

--- a/internal/edge/queue.go
+++ b/internal/edge/queue.go
@@ -146,7 +146,7 @@
 	// resuming streams have begun at another endpoint.
 	resuming bool
 	patience time.Duration
-	tried     map[string]bool
+	tried    map[string]bool
 }
 
 // before reports whether a request goes before another that came earlier.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -108,6 +108,7 @@
 	RankReachable   = define(7010, "rank_reachable", info, "The replica on this host answers its agent.")
 	RankOrdered     = define(7012, "rank_ordered", info, "The leader gave an order straight to a rank whose agent is silent.")
 	OrderUnanswered = define(7011, "order_unanswered", info, "An order to the replica on this host got no answer; it may be carried out late.")
+	OrderRefused    = define(7013, "order_refused", info, "The replica on this host refused an order, which doesn't fit its state any more.")
 )
 
 // Events of audits.
--- a/internal/rank/orders.go
+++ b/internal/rank/orders.go
@@ -133,6 +133,8 @@
 					zap.Uint64("pass", order.GetPass()))
 			default:
 				// The leader sees the rank's state and decides anew.
+				event.OrderRefused.Log(a.logger, zap.Stringer("kind", order.GetKind()), zap.Uint64("version", order.GetVersion()),
+					zap.Uint64("pass", order.GetPass()), event.Error(err))
 				accepted = order
 			}
 		}
--- a/internal/rank/plan.go
+++ b/internal/rank/plan.go
@@ -9,21 +9,25 @@
 	"github.com/lentilstand/lentilstand/pkg/place"
 )
 
-// current returns the map in use by set and rank, nil if it isn't known: as the
-// ranks report it, or as this agent was told to prepare it. The caller holds the
-// lock.
+// current returns the map in use by set and rank, nil if it isn't known: as this
+// agent was told to prepare it, or as the ranks report it if all reports are of the
+// map that this agent's rank uses. Reports of ranks that haven't told yet that they
+// switched would make up a map that no rank has. The caller holds the lock.
 func (l *lead) current() [][][]int {
 	a := l.agent
 	a.mu.Lock()
-	sets, told := a.shape.sets, a.plans.find(a.state.Map)
-	if a.state.Map == 0 {
-		told = inTurn(a.shape, a.state.Size)
-	}
+	state, shape, told := a.state, a.shape, a.plans.find(a.state.Map)
 	a.mu.Unlock()
-	reported := make([][][]int, sets)
-	for _, lists := range l.experts {
-		if len(lists) != sets {
-			return told
+	if state.Map == 0 {
+		told = inTurn(shape, state.Size)
+	}
+	if told != nil {
+		return told
+	}
+	reported := make([][][]int, shape.sets)
+	for rank, lists := range l.experts {
+		if len(lists) != shape.sets || l.views[rank].Map != state.Map || l.views[rank].Epoch != state.Epoch {
+			return nil
 		}
 		for set, list := range lists {
 			reported[set] = append(reported[set], list)
--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -77,6 +77,9 @@
 	holdBound    = 2 * time.Second
 	armBound     = 1500 * time.Millisecond
 	settleBound  = 2 * time.Second
+	// fenceBound is how long ranks may take to prepare a fence, which copies nothing,
+	// before a newer version is tried: a rank may refuse a version for good.
+	fenceBound = time.Second
 	// usualLead is how far ahead a switch is put: the hold and the arming take two
 	// rounds of reports, and a group that reaches the hold before stands still.
 	// slowLead is used while orders get lost, and
--- a/pkg/group/resolve.go
+++ b/pkg/group/resolve.go
@@ -72,6 +72,11 @@
 		}
 	}
 	if len(orders) > 0 {
+		if now.Sub(l.since) > fenceBound {
+			l.fence = l.next(max(highest(views), l.fence))
+			l.since = now
+			return nil, Running
+		}
 		return orders, Running
 	}
 	for rank, view := range views {
