internal/webio: a stop answers every request that was read

Cause: a stop closed connections that had no request, but a request that had been read and not yet parsed counted as none: it was handled, maybe passed on to an endpoint, and its answer found the connection closed. Change: a stop ends the read that waits instead of closing the connection.

--- a/internal/webio/conn.go
+++ b/internal/webio/conn.go
@@ -21,9 +21,10 @@
 type connection struct {
 	*net.TCPConn
 
-	mu     sync.Mutex
-	active bool
-	closed bool
+	mu      sync.Mutex
+	active  bool
+	leaving bool
+	closed  bool
 }
 
 func newConnection(conn *net.TCPConn) *connection {
@@ -51,12 +52,17 @@
 	return c.closed
 }
 
-func (c *connection) closeIfIdle() {
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
+// leave ends the connection unless a request has begun on it. What has been read
+// from it just now is still answered: only the read that waits is ended.
+func (c *connection) leave() {
 	c.mu.Lock()
-	idle := !c.active
-	c.mu.Unlock()
-	if idle {
-		_ = c.Close()
+	defer c.mu.Unlock()
+	c.leaving = true
+	if !c.active {
+		_ = c.SetReadDeadline(past)
 	}
 }
 
@@ -69,9 +75,14 @@
 // setReadDeadline bounds the next read: a request that has begun must arrive
 // in time, and a connection without one may stay idle for a while.
 func (c *connection) setReadDeadline(p *processor) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	deadline := time.Now().Add(IdleTimeout)
-	if p.inRequest() {
+	switch {
+	case p.inRequest():
 		deadline = p.began.Add(ReadTimeout)
+	case c.leaving:
+		deadline = past
 	}
 	_ = c.SetReadDeadline(deadline)
 }
@@ -88,7 +99,7 @@
 		}
 	}()
 	return func() {
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		_ = c.SetReadDeadline(past)
 		<-done
 	}
 }
--- a/internal/webio/server.go
+++ b/internal/webio/server.go
@@ -255,7 +255,7 @@
 		_ = s.listener.Close()
 	}
 	for c := range s.conns {
-		c.closeIfIdle()
+		c.leave()
 	}
 	s.mu.Unlock()
 	done := make(chan struct{})
--- a/internal/webio/server_test.go
+++ b/internal/webio/server_test.go
@@ -1,10 +1,15 @@
 package webio_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -81,3 +86,59 @@
 	defer response.Body.Close()
 	require.Equal(t, http.StatusInternalServerError, response.StatusCode)
 }
+
+// TestShutdownAnswersWhatWasRead stops servers at any moment of requests on
+// connections that are kept: what the handler got is answered whole.
+func TestShutdownAnswersWhatWasRead(t *testing.T) {
+	const rounds, callers = 150, 8
+	for range rounds {
+		var mu sync.Mutex
+		handled := make(map[string]bool)
+		server := serve(t, func(exchange *webio.Exchange) {
+			mu.Lock()
+			handled[exchange.Request().URL.Path] = true
+			mu.Unlock()
+			exchange.Reply(http.StatusOK, nil, []byte("whole"))
+		})
+		unanswered := make(chan string, callers)
+		for caller := range callers {
+			conn, err := net.Dial("tcp", server.Address())
+			require.NoError(t, err)
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					path := fmt.Sprintf("/%d/%d", caller, n)
+					if !askWhole(conn, reader, path) {
+						unanswered <- path
+						return
+					}
+				}
+			}()
+		}
+		time.Sleep(time.Duration(rand.IntN(3000)) * time.Microsecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		require.Zero(t, server.Shutdown(ctx))
+		cancel()
+		for range callers {
+			path := <-unanswered
+			mu.Lock()
+			require.False(t, handled[path], "%s was taken and not answered", path)
+			mu.Unlock()
+		}
+	}
+}
+
+// askWhole sends a request and reports whether its whole answer came.
+func askWhole(conn net.Conn, reader *bufio.Reader, path string) bool {
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+		return false
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return err == nil && string(body) == "whole"
+}
