internal/edge: silence alone ends no answer

Cause: a stream whose endpoint and agent fell silent was given up also when no attempt was left or no other endpoint had room; it then ended broken, though its endpoint may have gone on. Change: it is given up only if it may be sent again, the budget allows that and an endpoint has room. The agent counts as silent after 300 ms there, since 500 ms without an event are a sign too.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -61,11 +61,11 @@
 	if ticket.returning {
 		ticket.patience = min(returningWait, time.Until(r.deadline)/2)
 	}
-	sends, dials := 0, 0
+	dials := 0
 	var held *wholeAnswer
 	relay := &relay{request: r}
 	for {
-		if sends > 0 && !e.budget.spend(r.service.name, time.Now(), allowed) {
+		if r.sends > 0 && !e.budget.spend(r.service.name, time.Now(), allowed) {
 			event.RetryDenied.Log(e.logger, zap.String("request", r.call.ID), zap.String("service", r.service.name))
 			break
 		}
@@ -74,7 +74,7 @@
 		}
 		given, err := r.service.place(ctx, ticket)
 		if err != nil {
-			if sends == 0 {
+			if r.sends == 0 {
 				r.turnAway(ctx, err)
 				return
 			}
@@ -98,12 +98,12 @@
 			}
 		case notRun:
 			r.service.groupRefused(given.endpoint)
-			sends++
+			r.sends++
 		default:
-			sends++
+			r.sends++
 		}
 		r.ran = r.ran || result == failed || result == wrong
-		if sends >= r.route.Attempts() || ctx.Err() != nil || (r.ran && !r.route.Repeatable()) || result == unsent {
+		if r.sends >= r.route.Attempts() || ctx.Err() != nil || (r.ran && !r.route.Repeatable()) || result == unsent {
 			break
 		}
 	}
@@ -199,8 +199,17 @@
 // errQuiet says that an endpoint and its agent have fallen silent.
 var errQuiet = eris.New("the endpoint and its agent are silent")
 
+// mayMove reports whether a request may be sent once more now and would find room:
+// silence alone is no reason to end an answer.
+func (r *request) mayMove() bool {
+	return r.sends+1 < r.route.Attempts() &&
+		r.entry.budget.allows(r.service.name, time.Now(), r.allowance()) &&
+		r.service.hasRoom(ticket{resuming: true, tried: r.tried})
+}
+
 // guard ends the returned context when the endpoint falls silent together with
-// its agent, if the request may run again. Progress tells of each sign of life.
+// its agent, if the request may go on elsewhere. Progress tells of each sign of
+// life.
 func (r *request) guard(ctx context.Context, given seat) (guarded context.Context, progress, stop func()) {
 	if !r.route.Repeatable() {
 		return ctx, func() {}, func() {}
@@ -209,8 +218,9 @@
 	var last atomic.Int64
 	progress = func() { last.Store(time.Now().UnixNano()) }
 	progress()
-	done := make(chan struct{})
+	done, ended := make(chan struct{}), make(chan struct{})
 	go func() {
+		defer close(ended)
 		ticker := time.NewTicker(quietCheck)
 		defer ticker.Stop()
 		for {
@@ -219,7 +229,7 @@
 				return
 			case <-ticker.C:
 			}
-			if time.Since(time.Unix(0, last.Load())) > quietBound && r.service.isSilent(given.endpoint) {
+			if time.Since(time.Unix(0, last.Load())) > quietBound && r.service.isSilent(given.endpoint) && r.mayMove() {
 				cancel(errQuiet)
 				return
 			}
@@ -228,6 +238,7 @@
 	return guarded, progress, func() {
 		close(done)
 		cancel(nil)
+		<-ended
 	}
 }
 
--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -68,14 +68,25 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now, allowed.window)
+	if !w.allows(allowed) {
+		return false
+	}
+	w.seconds[len(w.seconds)-1].extras++
+	return true
+}
+
+// allows reports whether spend would allow an attempt.
+func (b *budget) allows(service string, now time.Time, allowed allowance) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.window(service, now, allowed.window).allows(allowed)
+}
+
+func (w *budgetWindow) allows(allowed allowance) bool {
 	requests, extras := 0.0, 0.0
 	for _, second := range w.seconds {
 		requests += second.requests
 		extras += second.extras
 	}
-	if extras+1 > budgetShare*(allowed.ratio*requests+allowed.extra/float64(max(1, allowed.members))) {
-		return false
-	}
-	w.seconds[len(w.seconds)-1].extras++
-	return true
+	return extras+1 <= budgetShare*(allowed.ratio*requests+allowed.extra/float64(max(1, allowed.members)))
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -40,6 +40,8 @@
 
 	attempts []attempt
 	tried    map[string]bool
+	// sends counts the attempts that reached an endpoint.
+	sends int
 	// ran says that an endpoint may have begun to run the request.
 	ran    bool
 	status int
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -37,6 +37,9 @@
 	// agentSilence is how long an agent that was heard may send nothing before its
 	// reports count no more; it reports several times a second.
 	agentSilence = 500 * time.Millisecond
+	// quietAgent is the same for a stream that has had no event for quietBound, which
+	// is a sign by itself: three reports are missing.
+	quietAgent = 300 * time.Millisecond
 	// waitShare is the share of a route's aim that a request may wait for room.
 	waitShare = 0.25
 	// usualOutage is how long a service is taken to be without endpoints before it
@@ -229,9 +232,8 @@
 	return float64(len(e.sent))
 }
 
-// take chooses an endpoint and counts the request there. The caller holds the
-// lock.
-func (s *service) take(t ticket, now time.Time) (seat, pick.Verdict) {
+// choose returns the endpoint that takes a request now. The caller holds the lock.
+func (s *service) choose(t ticket, now time.Time) (*endpoint, pick.Verdict) {
 	extra := plainExtra
 	if s.engine {
 		extra = engineExtra
@@ -239,17 +241,34 @@
 	if t.resuming {
 		extra += resumeExtra
 	}
-	at, verdict := -1, pick.None
-	if !s.engine || now.Sub(s.refusedAt) >= groupRefusal {
-		at, verdict = pick.Choose(s.loads(t.tried, now), extra, rand.Uint64())
+	if s.engine && now.Sub(s.refusedAt) < groupRefusal {
+		return nil, pick.None
 	}
+	at, verdict := pick.Choose(s.loads(t.tried, now), extra, rand.Uint64())
+	if verdict != pick.Chosen {
+		return nil, verdict
+	}
+	return s.endpoints[at], verdict
+}
+
+// hasRoom reports whether an endpoint would take a request now.
+func (s *service) hasRoom(t ticket) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, verdict := s.choose(t, time.Now())
+	return verdict == pick.Chosen
+}
+
+// take chooses an endpoint and counts the request there. The caller holds the
+// lock.
+func (s *service) take(t ticket, now time.Time) (seat, pick.Verdict) {
+	e, verdict := s.choose(t, now)
 	if len(t.tried) == 0 {
 		s.noteOutage(verdict == pick.None, now)
 	}
 	if verdict != pick.Chosen {
 		return seat{}, verdict
 	}
-	e := s.endpoints[at]
 	e.mine++
 	if now.Before(e.coldUntil) {
 		e.sent = append(e.sent, now)
@@ -361,7 +380,7 @@
 func (s *service) isSilent(e *endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return e.agent && time.Since(e.heard) > agentSilence
+	return e.agent && time.Since(e.heard) > quietAgent
 }
 
 // erred takes note of an error in an endpoint's answer.
