internal/soak: a fault soak of the real programs

Entries and agents run as separate processes against the platform's stand-ins; a seed plans pauses, kills, stops, reloads, troubled links to the store and to replicas, store faults, replaced and misbehaving replicas, changes and lost orders, which overlap. Not covered: stepped clocks (none of the decisions reads the time of day), ranks that crash and new epochs (the stand-in of a group has neither), datagrams.

--- /dev/null
+++ b/internal/soak/site_test.go
@@ -0,0 +1,339 @@
+package soak_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lentilstand/lentilstand/internal/procs"
+	"github.com/lentilstand/lentilstand/internal/stand"
+	"github.com/lentilstand/lentilstand/platform/fakes"
+)
+
+// The size of a site; the letter's usual size is a few dozen processes, and these
+// are the least that have every role more than twice.
+const (
+	ranks  = 4
+	plains = 3
+	events = 30
+	sets   = 2
+	places = 6
+	expert = 16
+)
+
+// eventPause makes a stream last 0.3 s, so that faults meet streams that run.
+const eventPause = 10 * time.Millisecond
+
+// daemon is an entry or an agent as a process, and how to start it again.
+type daemon struct {
+	name    string
+	args    []string
+	process *procs.Process
+	// relay stands between an entry and the store.
+	relay *relay
+	// front and directory are an entry's addresses.
+	front, directory string
+
+	mu sync.Mutex
+	// disturbed is when a fault last touched it, stopped when it last got SIGTERM.
+	disturbed, stopped time.Time
+	busy               bool
+	boot               int
+}
+
+// take reserves the daemon for one series of signals.
+func (d *daemon) take() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.busy {
+		return false
+	}
+	d.busy = true
+	return true
+}
+
+func (d *daemon) free() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.busy = false
+}
+
+func (d *daemon) disturb() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.disturbed = time.Now()
+}
+
+func (d *daemon) lastDisturbed() (unplanned, stopped time.Time, boot int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.disturbed, d.stopped, d.boot
+}
+
+func (d *daemon) start(t *testing.T) {
+	process := procs.Start(t, d.args...)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.process = process
+	d.boot++
+}
+
+func (d *daemon) signal(signal syscall.Signal) {
+	d.mu.Lock()
+	process := d.process
+	d.mu.Unlock()
+	process.Signal(signal)
+}
+
+// plain is a replica of the plain service behind a relay.
+type plain struct {
+	id      string
+	replica *fakes.Replica
+	relay   *relay
+}
+
+// site is the platform with the daemons on it.
+type site struct {
+	t       *testing.T
+	kv      *stand.KV
+	store   *fakes.Store
+	group   *fakes.Group
+	script  fakes.Script
+	entries []*daemon
+	agents  []*daemon
+
+	// rankAddress is where rank 0 takes orders.
+	rankAddress string
+
+	mu       sync.Mutex
+	plains   []*plain
+	replicas []*fakes.Replica
+	started  int
+	version  int
+	acked    time.Time
+	// shaken is when replicas or their links were last disturbed, storeShaken the
+	// store.
+	shaken, storeShaken time.Time
+}
+
+// freePort returns a port that is free on the whole of a random loopback network,
+// and the network's first three bytes.
+func freePort(t *testing.T) (network string, port int) {
+	for range 100 {
+		network = fmt.Sprintf("127.91.%d", rand.IntN(250))
+		port = 20000 + rand.IntN(10000)
+		free := true
+		for host := range 24 {
+			for p := range 5 {
+				listener, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, host+1, port+p))
+				if err != nil {
+					free = false
+					break
+				}
+				require.NoError(t, listener.Close())
+			}
+		}
+		if free {
+			return network, port
+		}
+	}
+	require.Fail(t, "no port is free")
+	return "", 0
+}
+
+func newSite(t *testing.T, entries int) *site {
+	s := &site{t: t, kv: stand.NewKV()}
+	s.store = fakes.NewStore(s.kv)
+	server := httptest.NewServer(s.store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	network, port := freePort(t)
+	peer := port + 4
+	s.startRanks(network, port, peer)
+	for range plains {
+		s.addPlain()
+	}
+	s.configure()
+	for i := range entries {
+		ip := fmt.Sprintf("%s.%d", network, i+1)
+		e := &daemon{
+			name: fmt.Sprintf("entry-%d", i+1), relay: newRelay(t, server.Listener.Addr().String()),
+			front: fmt.Sprintf("%s:%d", ip, port), directory: fmt.Sprintf("%s:%d", ip, port+1),
+		}
+		e.args = []string{"entry", "--platform", "--settings", s.settings(e.name, fmt.Sprintf(
+			`{"name": %q, "data_centre": "a", "ip": %q, "peer_port": %d, "listen": %q, "directory_listen": %q,
+			"ready_listen": "%s:%d", "admin_listen": "%s:%d", "store": %q, "address_ttl_s": 1, "stop_bound_s": 8,
+			"retry_ratio": 0.2, "retry_extra": 50, "retry_window_s": 10, "cold_overage": 1.5, "cold_extra": 5, "log_level": "warn"}`,
+			e.name, ip, peer, e.front, e.directory, ip, port+2, ip, port+3, e.relay.address()))}
+		s.entries = append(s.entries, e)
+	}
+	for _, d := range s.daemons() {
+		d.start(t)
+	}
+	return s
+}
+
+func (s *site) daemons() []*daemon { return append(append([]*daemon(nil), s.entries...), s.agents...) }
+
+func (s *site) settings(name, text string) string {
+	path := filepath.Join(s.t.TempDir(), name+".jsonc")
+	require.NoError(s.t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// startRanks starts the group and an agent beside each of its ranks.
+func (s *site) startRanks(network string, port, peer int) {
+	var addresses []string
+	for i := range ranks {
+		addresses = append(addresses, fmt.Sprintf("%s.%d:%d", network, 20+i, port))
+	}
+	popularity := func(_, expert int) uint64 {
+		if expert == 0 {
+			return 1500
+		}
+		return 100
+	}
+	group, err := fakes.NewGroup(addresses, sets, expert, 40*time.Millisecond, popularity)
+	require.NoError(s.t, err)
+	s.t.Cleanup(group.Close)
+	s.group, s.rankAddress = group, addresses[0]
+	for i, address := range addresses {
+		id := fmt.Sprintf("rank-%d", i)
+		group.Mount(i, s.newReplica(id))
+		s.register(id, "model", address)
+		ip, _, err := net.SplitHostPort(address)
+		require.NoError(s.t, err)
+		agent := &daemon{name: "agent-" + id}
+		agent.args = []string{"agent", "--platform", "--settings", s.settings(agent.name, fmt.Sprintf(
+			`{"name": %q, "data_centre": "a", "ip": %q, "peer_port": %d, "admin_listen": "%s:%d", "endpoint": %q, "log_level": "warn"}`,
+			agent.name, ip, peer, ip, port+3, address))}
+		s.agents = append(s.agents, agent)
+	}
+}
+
+func (s *site) newReplica(id string) *fakes.Replica {
+	r := fakes.NewReplica(id, events, &s.script)
+	r.SetPause(eventPause)
+	s.t.Cleanup(r.Close)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replicas = append(s.replicas, r)
+	return r
+}
+
+func (s *site) register(id, service, address string) {
+	s.write("servers/"+id, map[string]any{
+		"service": service, "address": address, "zone": "a", "slots": 8, "state": "ready", "coldLeftMs": 0, "born": 1,
+	})
+}
+
+func (s *site) write(key string, value any) {
+	encoded, err := json.Marshal(value)
+	require.NoError(s.t, err)
+	var txn stand.Txn
+	txn.Put(key, encoded, 0)
+	_, err = s.kv.Commit(txn)
+	require.NoError(s.t, err)
+}
+
+// addPlain starts a plain replica behind a relay and registers it.
+func (s *site) addPlain() {
+	s.mu.Lock()
+	s.started++
+	id := fmt.Sprintf("plain-%d", s.started)
+	s.mu.Unlock()
+	p := &plain{id: id, replica: s.newReplica(id)}
+	p.relay = newRelay(s.t, p.replica.Address())
+	s.mu.Lock()
+	s.plains = append(s.plains, p)
+	s.mu.Unlock()
+	s.register(id, "plain", p.relay.address())
+}
+
+// replacePlain ends a plain replica without a word and starts another.
+func (s *site) replacePlain(at int) {
+	s.mu.Lock()
+	p := s.plains[at]
+	s.plains = append(s.plains[:at:at], s.plains[at+1:]...)
+	s.mu.Unlock()
+	p.replica.Close()
+	p.relay.reset()
+	var txn stand.Txn
+	txn.Remove("servers/" + p.id)
+	_, err := s.kv.Commit(txn)
+	require.NoError(s.t, err)
+	s.addPlain()
+}
+
+// configure writes the next version; its own key is allowed by no other.
+func (s *site) configure() {
+	s.mu.Lock()
+	s.version++
+	version := s.version
+	s.mu.Unlock()
+	route := func(prefix, kind, service string, attempts int, resume bool) map[string]any {
+		return map[string]any{
+			"name": prefix, "host": "club.example", "prefix": prefix, "kind": kind, "timeoutMs": 3000, "targetLatencyMs": 400,
+			"service": service, "maxAttempts": attempts, "streamResume": resume, "gapAimMs": 120,
+		}
+	}
+	s.write("op/config", map[string]any{
+		"version": version,
+		"routes": []any{
+			route("/book/", "non_idempotent", "plain", 1, false), route("/check/", "idempotent", "plain", 2, false),
+			route("/draft/", "streaming", "model", 2, true), route("/once/", "streaming", "model", 1, false),
+		},
+		"services": []any{
+			map[string]any{"name": "plain", "healthPath": "/healthz", "maxConns": 50},
+			map[string]any{"name": "model", "healthPath": "/healthz", "maxConns": 50, "engine": map[string]any{
+				"slots": 8, "sets": sets, "experts": expert, "places": places, "spare": 3, "stride": 5, "step_ms": 6, "expertMb": 1, "linkMbps": 1000,
+			}},
+		},
+		"tenants": []any{map[string]any{"name": "rowers", "apiKeys": []string{"key", versionKey(version)}, "priority": 1}},
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acked = time.Now()
+}
+
+func versionKey(version int) string { return fmt.Sprintf("key-of-%d", version) }
+
+func (s *site) newest() (version int, acked time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version, s.acked
+}
+
+func (s *site) shake(store bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if store {
+		s.storeShaken = time.Now()
+	} else {
+		s.shaken = time.Now()
+	}
+}
+
+func (s *site) lastShaken() (replicas, store time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shaken, s.storeShaken
+}
+
+func (s *site) allReplicas() []*fakes.Replica {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*fakes.Replica(nil), s.replicas...)
+}
