pkg/pick: a choice looks at three endpoints drawn at random

One rank got 26 requests of 20 entries within 150 ms and none for the 1.2 s before and after: all entries sent to the endpoint that the last reports showed least loaded. The estimate of others' requests spreads them evenly and so missed this. Ruled out: teams' priorities (the slow ones are spread as all are), single entries. Change: a choice takes the best of three endpoints with room, drawn at random. Test: TestAnIdleEndpointIsNotFlooded (24 of 24 arrivals at one endpoint before, at most 10 wanted).

--- a/pkg/pick/pick.go
+++ b/pkg/pick/pick.go
@@ -93,57 +93,52 @@
 	None
 )
 
+// candidates is how many endpoints a choice looks at, drawn at random among those
+// with room. If every entry sent to the least loaded of all, the requests of a
+// whole report's age would meet there: 235 requests a second and 100 ms make 23 of
+// them at one of 63 endpoints. Among three, it gets three times its share.
+const candidates = 3
+
 // Choose returns the index of the endpoint that takes a request, with room for
-// extra requests beyond an endpoint's slots. Random is any number; it spreads
-// equal choices.
+// extra requests beyond an endpoint's slots. Random is any number; it draws the
+// endpoints that are looked at and spreads equal choices.
 func Choose(loads []Load, extra int, random uint64) (int, Verdict) {
-	best, bestScore := -1, 0.0
-	verdict := None
+	best, verdict := choose(loads, extra, random, false)
+	if best < 0 && verdict == None {
+		// Endpoints that failed are used when no other runs at all.
+		return choose(loads, extra, random, true)
+	}
+	return best, verdict
+}
+
+func choose(loads []Load, extra int, random uint64, shunned bool) (int, Verdict) {
+	var drawn [candidates]int
+	var lots [candidates]float64
+	count, verdict := 0, None
 	for i := range loads {
 		load := &loads[i]
-		if load.Closed || load.Tried {
+		switch {
+		case load.Closed || load.Tried || load.Shunned != shunned:
 			continue
-		}
-		if load.Spent {
+		case load.Spent || load.isFull(load.Busy(), extra):
 			verdict = Full
 			continue
 		}
-		if load.Shunned {
+		lot := spread(^random, i)
+		at := count
+		if count < candidates {
+			count++
+		} else if at--; lot >= lots[at] {
 			continue
 		}
-		busy := load.Busy()
-		if load.isFull(busy, extra) {
-			verdict = Full
-			continue
-		}
-		score := load.score(busy) + spread(random, i)*jitter
-		if best < 0 || score < bestScore {
-			best, bestScore = i, score
+		for ; at > 0 && lots[at-1] > lot; at-- {
+			lots[at], drawn[at] = lots[at-1], drawn[at-1]
 		}
-	}
-	if best >= 0 {
-		return best, Chosen
-	}
-	return chooseShunned(loads, extra, random, verdict)
-}
-
-// chooseShunned falls back to endpoints that failed, when no other runs at all.
-func chooseShunned(loads []Load, extra int, random uint64, verdict Verdict) (int, Verdict) {
-	if verdict == Full {
-		return -1, Full
+		lots[at], drawn[at] = lot, i
 	}
 	best, least := -1, 0.0
-	for i := range loads {
-		load := &loads[i]
-		if load.Closed || load.Tried || load.Spent || !load.Shunned {
-			continue
-		}
-		busy := load.Busy()
-		if load.isFull(busy, extra) {
-			verdict = Full
-			continue
-		}
-		if score := load.score(busy) + spread(random, i)*jitter; best < 0 || score < least {
+	for _, i := range drawn[:count] {
+		if score := loads[i].score(loads[i].Busy()) + spread(random, i)*jitter; best < 0 || score < least {
 			best, least = i, score
 		}
 	}
--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -147,3 +148,27 @@
 	require.Equal(t, pick.Chosen, verdict, "a report that has just come is believed")
 	require.Zero(t, at)
 }
+
+// TestAnIdleEndpointIsNotFlooded plays the load that drawing candidates answers: 34
+// entries see the same reports, by which one endpoint of 63 is idle, until the next
+// reports come 100 ms later; 235 requests a second arrive.
+func TestAnIdleEndpointIsNotFlooded(t *testing.T) {
+	const entries, endpoints, arrivals, slots = 34, 63, 24, 10
+	random := rand.New(rand.NewPCG(5, 6))
+	worst := 0
+	for range 200 {
+		held := make([]int, endpoints)
+		for range arrivals {
+			loads := make([]pick.Load, endpoints)
+			for i := range loads {
+				loads[i] = fresh(slots, 6)
+			}
+			loads[0].Reported = 0
+			at, verdict := pick.Choose(loads, 2, random.Uint64())
+			require.Equal(t, pick.Chosen, verdict)
+			held[at]++
+		}
+		worst = max(worst, held[0])
+	}
+	require.LessOrEqual(t, worst, slots, "all of what came in one report's age would run at once")
+}
