internal/edge: after an outage callers come back spread, and wait though nothing has ended yet

Entries that had just started also took them for new callers. Change: who is refused in an outage comes back within 1.5 s after its expected end; the rate that a wait is judged by is at least what the slots bear; an entry without memory takes the route's timeout for a caller's usual patience. Tests: TestAfterAnOutageReturningCallersWait, TestCallersComeBackSpreadAfterAnOutage.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -235,12 +235,16 @@
 const returningShare = 0.97
 
 // isReturning reports whether a caller seems to have been refused before: less
-// than the usual time is left to it, or it resumes a stream.
+// than the usual time is left to it, or it resumes a stream. An entry that has just
+// started takes the route's timeout for usual.
 func (e *Entry) isReturning(r *request) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	usual := max(e.patience[r.route.Name()], r.call.Patience)
-	e.patience[r.route.Name()] = usual
+	usual, known := e.patience[r.route.Name()]
+	e.patience[r.route.Name()] = max(usual, r.call.Patience)
+	if !known {
+		usual = r.route.Timeout()
+	}
 	return r.call.LastEvent != "" || float64(r.call.Patience) < returningShare*float64(usual)
 }
 
--- a/internal/edge/queue.go
+++ b/internal/edge/queue.go
@@ -34,11 +34,10 @@
 func (s *service) back(cause error) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	back := leastBack
 	if errors.Is(cause, errNone) && !s.closedAt.IsZero() {
-		back = max(back, s.expectedOutage()-time.Since(s.closedAt))
+		return max(leastBack, s.expectedOutage()-time.Since(s.closedAt)) + rand.N(outageSpread)
 	}
-	return back + rand.N(leastBack)
+	return leastBack + rand.N(leastBack)
 }
 
 // place returns an endpoint for a request, after a wait of at most the ticket's
@@ -95,12 +94,22 @@
 		}
 		return nil
 	}
-	if s.finished.at(now)*t.patience.Seconds() < float64(ahead+1) {
+	if s.ending(now)*t.patience.Seconds() < float64(ahead+1) {
 		return errFull
 	}
 	return nil
 }
 
+// ending returns how many of this entry's requests end in a second: as many as did
+// lately, and at least its part of what the slots bear. The caller holds the lock.
+func (s *service) ending(now time.Time) float64 {
+	slots := 0
+	for _, e := range s.endpoints {
+		slots += e.slots
+	}
+	return max(s.finished.at(now), float64(slots)/float64(1+s.others())/usualRun.Seconds())
+}
+
 // leave takes a waiter out of the line, unless its turn has just come.
 func (s *service) leave(w *waiter, reason error) (seat, error) {
 	s.mu.Lock()
--- a/internal/edge/queue_test.go
+++ b/internal/edge/queue_test.go
@@ -53,3 +53,44 @@
 	require.True(t, returns.before(usual))
 	require.False(t, usual.before(usual))
 }
+
+// TestAfterAnOutageReturningCallersWait plays the load that the floor of ending and
+// outageSpread answer: a group has formed again, its slots are taken at once, and no
+// request has ended yet. Who came back won't come again and may wait; a new caller
+// is refused at once and told when to come back.
+func TestAfterAnOutageReturningCallersWait(t *testing.T) {
+	s := newEngineService(12, 12)
+	var seats []seat
+	for range 12 * (12 + engineExtra) {
+		given, err := s.place(context.Background(), ticket{})
+		require.NoError(t, err)
+		seats = append(seats, given)
+	}
+	began := time.Now()
+	_, err := s.place(context.Background(), ticket{patience: 10 * time.Millisecond})
+	require.ErrorIs(t, err, errFull)
+	require.Less(t, time.Since(began), 50*time.Millisecond)
+	placed := make(chan error, 1)
+	go func() {
+		_, err := s.place(context.Background(), ticket{returning: true, patience: returningWait})
+		placed <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	s.release(seats[0].endpoint)
+	require.NoError(t, <-placed)
+}
+
+func TestCallersComeBackSpreadAfterAnOutage(t *testing.T) {
+	s := newEngineService(1, 12)
+	s.endpoints[0].draining = true
+	_, err := s.place(context.Background(), ticket{})
+	require.ErrorIs(t, err, errNone)
+	least, most := time.Hour, time.Duration(0)
+	for range 400 {
+		back := s.back(err)
+		least, most = min(least, back), max(most, back)
+	}
+	require.Greater(t, least, usualOutage-100*time.Millisecond, "not before there are endpoints")
+	require.LessOrEqual(t, most, usualOutage+outageSpread)
+	require.Greater(t, most-least, outageSpread*3/4)
+}
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -51,6 +51,13 @@
 	// groupRefusal is how long a group's refusal of one request counts for all of its
 	// ranks, which only run together; agents tell sooner when they run again.
 	groupRefusal = 200 * time.Millisecond
+	// usualRun is how long a request takes on a busy group, 30 events of 100 ms: as
+	// many requests as there are slots end in that time, also before any was seen to.
+	usualRun = 3 * time.Second
+	// outageSpread is the time over which those who were refused in an outage come
+	// back after it: all of them at once would fill every slot with prompts to read,
+	// and whoever comes after that is lost.
+	outageSpread = 1500 * time.Millisecond
 	// leastBack is the least time after which a refused caller may come back.
 	leastBack = 300 * time.Millisecond
 )
