--- /dev/null
+++ b/internal/edge/site_test.go
@@ -0,0 +1,203 @@
+package edge_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/lentilstand/lentilstand/internal/edge"
+	"github.com/lentilstand/lentilstand/internal/prefs"
+	"github.com/lentilstand/lentilstand/internal/procs"
+	"github.com/lentilstand/lentilstand/internal/stand"
+	"github.com/lentilstand/lentilstand/platform/fakes"
+)
+
+// site is the platform with entries on it, in one process.
+type site struct {
+	t        *testing.T
+	kv       *stand.KV
+	store    *fakes.Store
+	address  string
+	version  int
+	entries  []*edge.Entry
+	settings []prefs.Edge
+	replicas map[string]*fakes.Replica
+	script   fakes.Script
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, kv: stand.NewKV(), replicas: make(map[string]*fakes.Replica)}
+	s.store = fakes.NewStore(s.kv)
+	server := httptest.NewServer(s.store)
+	s.address = server.Listener.Addr().String()
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return s
+}
+
+// write writes a key of the operator or of a replica.
+func (s *site) write(key, value string) {
+	var txn stand.Txn
+	txn.Put(key, []byte(value), 0)
+	_, err := s.kv.Commit(txn)
+	require.NoError(s.t, err)
+}
+
+func (s *site) remove(key string) {
+	var txn stand.Txn
+	txn.Remove(key)
+	_, err := s.kv.Commit(txn)
+	require.NoError(s.t, err)
+}
+
+// route is a route as the operator writes it.
+type route struct {
+	prefix, kind, service string
+	resume                bool
+	attempts              int
+	timeoutMS             int
+}
+
+var usualRoutes = []route{
+	{prefix: "/book/", kind: "non_idempotent", service: "plain", attempts: 1, timeoutMS: 1500},
+	{prefix: "/check/", kind: "idempotent", service: "plain", attempts: 2, timeoutMS: 1500},
+	{prefix: "/draft/", kind: "streaming", service: "plain", attempts: 2, timeoutMS: 3000, resume: true},
+	{prefix: "/once/", kind: "streaming", service: "plain", attempts: 1, timeoutMS: 3000},
+}
+
+// configure writes the next version of the operator's configuration.
+func (s *site) configure(keys []string, routes ...route) {
+	s.version += 2
+	config := map[string]any{
+		"version":  s.version,
+		"services": []any{map[string]any{"name": "plain", "healthPath": "/healthz", "maxConns": 50}},
+		"tenants":  []any{map[string]any{"name": "rowers", "apiKeys": keys, "priority": 1}},
+	}
+	var rows []any
+	for _, r := range routes {
+		rows = append(rows, map[string]any{
+			"name": r.prefix, "host": "club.example", "prefix": r.prefix, "kind": r.kind, "timeoutMs": r.timeoutMS,
+			"targetLatencyMs": 400, "service": r.service, "maxAttempts": r.attempts, "streamResume": r.resume, "gapAimMs": 120,
+		})
+	}
+	config["routes"] = rows
+	encoded, err := json.Marshal(config)
+	require.NoError(s.t, err)
+	s.write("op/config", string(encoded))
+}
+
+// replica starts a replica and registers it.
+func (s *site) replica(id, zone string) *fakes.Replica {
+	r := fakes.NewReplica(id, 8, &s.script)
+	s.t.Cleanup(r.Close)
+	s.replicas[id] = r
+	s.register(id, zone, "ready")
+	return r
+}
+
+func (s *site) register(id, zone, state string) {
+	s.write("servers/"+id, fmt.Sprintf(`{"service":"plain","address":%q,"zone":%q,"slots":8,"state":%q,"coldLeftMs":0,"born":1}`,
+		s.replicas[id].Address(), zone, state))
+}
+
+// entry starts an entry and waits until it is ready.
+func (s *site) entry(name string) *edge.Entry {
+	addresses := make([]string, 4)
+	for i := range addresses {
+		addresses[i] = procs.FreeAddress(s.t)
+	}
+	host, port, err := net.SplitHostPort(procs.FreeAddress(s.t))
+	require.NoError(s.t, err)
+	text := fmt.Sprintf(`{"name": %q, "data_centre": "gmunden", "ip": %q, "peer_port": %s, "admin_listen": %q, "listen": %q,
+		"ready_listen": %q, "directory_listen": %q, "store": %q, "stop_bound_s": 3, "retry_ratio": 0.2, "retry_extra": 50,
+		"retry_window_s": 10, "cold_overage": 1.5, "cold_extra": 5, "log_level": "error"}`,
+		name, host, port, addresses[0], addresses[1], addresses[2], addresses[3], s.address)
+	settings, err := prefs.ParseEdge("entry.jsonc", []byte(text))
+	require.NoError(s.t, err)
+	e, err := edge.New(settings, zap.NewNop())
+	require.NoError(s.t, err)
+	require.NoError(s.t, e.Start())
+	s.entries, s.settings = append(s.entries, e), append(s.settings, settings)
+	s.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		e.Stop(ctx)
+	})
+	return e
+}
+
+func (s *site) ready(at int) {
+	require.Eventually(s.t, func() bool { return s.entries[at].Ready() == "" }, 5*time.Second, 5*time.Millisecond)
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends a request to an entry.
+func (s *site) call(at int, method, path, body string, header map[string]string) answer {
+	request, err := http.NewRequest(method, "http://"+s.settings[at].Listen()+path, strings.NewReader(body))
+	require.NoError(s.t, err)
+	request.Host = "club.example"
+	request.Header.Set("Authorization", "Bearer key-1")
+	request.Header.Set("Lentilstand-Request-Id", "request-1")
+	request.Header.Set("Lentilstand-Deadline-Ms", "3000")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(content), err: err}
+}
+
+// tokens makes a request one for a stream.
+var tokens = map[string]string{"Lentilstand-Token-Counts": "100,40"}
+
+func startSite(t *testing.T, replicas ...string) *site {
+	s := newSite(t)
+	s.configure([]string{"key-1"}, usualRoutes...)
+	for _, id := range replicas {
+		s.replica(id, "gmunden")
+	}
+	s.entry("entry-1")
+	s.ready(0)
+	return s
+}
+
+// addresses asks an entry's directory.
+func (s *site) addresses(at int) []string {
+	response, err := http.Get("http://" + s.settings[at].Directory() + "/lentilstand/resolve?name=club.example&region=r&zone=gmunden")
+	if err != nil || response.StatusCode != http.StatusOK {
+		return nil
+	}
+	defer response.Body.Close()
+	var told struct {
+		Addresses []string `json:"addresses"`
+		TTLS      int      `json:"ttlS"`
+	}
+	require.NoError(s.t, json.NewDecoder(response.Body).Decode(&told))
+	require.Positive(s.t, told.TTLS)
+	return told.Addresses
+}
