--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -218,8 +218,8 @@
 }
 
 // coldShare returns how many requests this entry may send a cold endpoint of a
-// service in a second, zero if there is no bound. All entries together stay
-// below what it bears, whichever of them are counted as members.
+// service in a second, zero if there is no bound. All entries together stay below
+// what it bears, whichever of them are counted as members.
 func (e *Entry) coldShare(name string) float64 {
 	picture := e.picture.Load()
 	t := picture.Table()
@@ -227,7 +227,7 @@
 		return 0
 	}
 	factor, _ := e.settings.Load().ColdBound()
-	return max(1, t.Service(name).ColdPerSecond()*min(1, factor)/float64(max(1, len(picture.Members()))))
+	return t.Service(name).ColdPerSecond() * min(1, factor) / float64(max(1, len(picture.Members())))
 }
 
 // returningShare is the share of a route's usual patience below which a caller is
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -90,7 +90,9 @@
 	failedAt  time.Time
 	shunned   bool
 	coldUntil time.Time
-	sent      []time.Time
+	// coldTurn is from when on this entry may send to the endpoint while it is cold.
+	coldTurn time.Time
+	sent     []time.Time
 }
 
 // failing returns the decayed count of failures.
@@ -164,7 +166,7 @@
 			event.EndpointAdded.Log(s.logger, zap.String("service", s.name), zap.String("endpoint", spec.ID()),
 				zap.Stringer("address", spec.Address()), zap.Duration("cold_for", spec.ColdFor()))
 		} else if spec.ColdFor() > 0 && spec.ColdFor() != e.spec.ColdFor() {
-			e.coldUntil = now.Add(spec.ColdFor())
+			e.coldUntil, e.coldTurn = now.Add(spec.ColdFor()), time.Time{}
 			event.EndpointCold.Log(s.logger, zap.String("endpoint", spec.ID()), zap.Duration("cold_for", spec.ColdFor()))
 		}
 		if spec.Draining() && !e.draining {
@@ -224,7 +226,7 @@
 			// A host that stands still takes its agent along, and what is sent there
 			// arrives when nobody waits for it any more.
 			Closed:  e.draining || s.evacuated[e.spec.DataCentre()] || (e.closed && !silent) || (silent && heard),
-			Spent:   perSecond > 0 && now.Before(e.coldUntil) && e.sentWithin(now, time.Second) >= perSecond,
+			Spent:   perSecond > 0 && now.Before(e.coldUntil) && e.isSpent(now, perSecond),
 			Shunned: e.shunned,
 			Tried:   tried[e.spec.ID()],
 		}
@@ -232,6 +234,20 @@
 	return loads
 }
 
+// isSpent reports whether a cold endpoint has had what this entry may send it. Of a
+// large fleet each entry sends one request in several seconds, and begins at a
+// random moment of these, so that they don't all begin together.
+func (e *endpoint) isSpent(now time.Time, perSecond float64) bool {
+	if perSecond >= 1 {
+		return e.sentWithin(now, time.Second)+1 > perSecond
+	}
+	period := time.Duration(float64(time.Second) / perSecond)
+	if e.coldTurn.IsZero() {
+		e.coldTurn = now.Add(rand.N(period))
+	}
+	return now.Before(e.coldTurn) || e.sentWithin(now, period) > 0
+}
+
 // sentWithin returns how many requests were sent in the last span.
 func (e *endpoint) sentWithin(now time.Time, span time.Duration) float64 {
 	first := 0
