internal/soak: no data race in the harness, and the planted outage lasts

Ruled out: a fault of the daemons (no finding of a promise). Change: answers are noted under the lock; the outage is planted again after the last fault; a replica to be replaced is chosen under the lock.

--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -169,26 +169,30 @@
 	if a.isStream() {
 		request.Header.Set("Lentilstand-Token-Counts", "100,40")
 	}
+	got := asked{}
 	response, err := c.client.Do(request)
 	if err == nil {
 		defer response.Body.Close()
-		a.status, a.header = response.StatusCode, response.Header
+		got.status, got.header = response.StatusCode, response.Header
 		var content []byte
 		content, err = io.ReadAll(response.Body)
-		a.answer = string(content)
+		got.answer = string(content)
 	}
 	var dial *net.OpError
-	a.unsent = errors.As(err, &dial) && dial.Op == "dial"
-	a.err, a.end = err, time.Now()
-	h.note(a)
+	got.unsent = errors.As(err, &dial) && dial.Op == "dial"
+	got.err, got.end = err, time.Now()
+	h.note(a, got)
 	if a.served() {
 		h.checkAnswer(a)
 	}
 	return a
 }
 
-// note takes down how calm it was around a request.
-func (h *history) note(a *asked) {
+// note takes down what came of a request, and how calm it was around it.
+func (h *history) note(a *asked, got asked) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a.status, a.header, a.answer, a.unsent, a.err, a.end = got.status, got.header, got.answer, got.unsent, got.err, got.end
 	calm := func(at time.Time) bool { return a.at.Sub(at) > contact }
 	unplanned, stopped, _ := a.entry.lastDisturbed()
 	replicas, _ := h.site.lastShaken()
--- a/internal/soak/plant_test.go
+++ b/internal/soak/plant_test.go
@@ -58,8 +58,10 @@
 		r.order(fmt.Sprintf(`{"op":"arm","version":%d,"epoch":1,"step":%d}`, 1<<40, r.site.group.Pass()+1))
 	case "recover":
 		r.site.entries[0].relay.set(trouble{toTarget: true})
-		for at := range plains {
-			r.site.plains[at].relay.set(trouble{toTarget: true})
+		r.site.mu.Lock()
+		defer r.site.mu.Unlock()
+		for _, p := range r.site.plains {
+			p.relay.set(trouble{toTarget: true})
 		}
 	}
 }
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -99,13 +99,14 @@
 	d.boot++
 }
 
-func (d *daemon) signal(signal syscall.Signal) {
+func (d *daemon) current() *procs.Process {
 	d.mu.Lock()
-	process := d.process
-	d.mu.Unlock()
-	process.Signal(signal)
+	defer d.mu.Unlock()
+	return d.process
 }
 
+func (d *daemon) signal(signal syscall.Signal) { d.current().Signal(signal) }
+
 // plain is a replica of the plain service behind a relay.
 type plain struct {
 	id      string
@@ -274,8 +275,13 @@
 }
 
 // replacePlain ends a plain replica without a word and starts another.
-func (s *site) replacePlain(at int) {
+func (s *site) replacePlain(random *rand.Rand) {
 	s.mu.Lock()
+	if len(s.plains) == 0 {
+		s.mu.Unlock()
+		return
+	}
+	at := random.IntN(len(s.plains))
 	p := s.plains[at]
 	s.plains = append(s.plains[:at:at], s.plains[at+1:]...)
 	s.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -88,6 +88,9 @@
 	}
 	time.Sleep(time.Second)
 	r.inject(time.Duration(*seconds) * time.Second)
+	if planted == "recover" {
+		r.plant()
+	}
 	healed := time.Now()
 	pass := r.site.group.Pass()
 	recovered := false
@@ -114,7 +117,7 @@
 	if findings != "" && *logs != "" {
 		for _, d := range r.site.daemons() {
 			path := filepath.Join(*logs, fmt.Sprintf("%d-%s.log", seed, d.name))
-			require.NoError(r.t, os.WriteFile(path, []byte(d.process.Log()), 0o600))
+			require.NoError(r.t, os.WriteFile(path, []byte(d.current().Log()), 0o600))
 		}
 	}
 	require.Empty(r.t, findings, "seed %d, %d requests", seed, r.history.count)
@@ -182,7 +185,7 @@
 	}
 	defer d.free()
 	d.disturb()
-	d.process.Kill()
+	d.current().Kill()
 	time.Sleep(between(random, 50*time.Millisecond, time.Second))
 	d.start(r.t)
 	d.disturb()
@@ -201,9 +204,9 @@
 		d.signal(syscall.SIGTERM)
 		if r.planted == "lost" {
 			time.Sleep(100 * time.Millisecond)
-			d.process.Kill()
-		} else if code := d.process.Wait(graceBound + time.Second); code != 0 && code != 1 {
-			r.history.find("STOP", "%s ended with code %d: %s", d.name, code, d.process.Log())
+			d.current().Kill()
+		} else if code := d.current().Wait(graceBound + time.Second); code != 0 && code != 1 {
+			r.history.find("STOP", "%s ended with code %d: %s", d.name, code, d.current().Log())
 		}
 		d.start(r.t)
 		if !strings.HasPrefix(d.name, "entry") {
@@ -260,6 +263,10 @@
 
 func (r *run) troubleReplicaLink(random *rand.Rand) {
 	r.site.mu.Lock()
+	if len(r.site.plains) == 0 {
+		r.site.mu.Unlock()
+		return
+	}
 	p := r.site.plains[random.IntN(len(r.site.plains))]
 	r.site.mu.Unlock()
 	r.site.shake(false)
@@ -272,7 +279,7 @@
 
 func (r *run) replaceReplica(random *rand.Rand) {
 	r.site.shake(false)
-	r.site.replacePlain(random.IntN(plains))
+	r.site.replacePlain(random)
 	r.site.shake(false)
 }
 
