--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -25,6 +25,10 @@
 	engineExtra = 2
 	// plainExtra is the same for endpoints of plain services.
 	plainExtra = 4
+	// coldMargin is by how much entries of a large fleet stay below their part of what
+	// a cold endpoint bears: their moments are random, and at the full part of 26 a
+	// second more than 44 met in one second now and then.
+	coldMargin = 2
 	// resumeExtra is how many streams that go on from another endpoint may stand at
 	// one beyond that: their callers have a part of the answer and leave after two
 	// seconds of silence, and they go first there.
@@ -241,7 +245,7 @@
 	if perSecond >= 1 {
 		return e.sentWithin(now, time.Second)+1 > perSecond
 	}
-	period := time.Duration(float64(time.Second) / perSecond)
+	period := time.Duration(coldMargin * float64(time.Second) / perSecond)
 	if e.coldTurn.IsZero() {
 		e.coldTurn = now.Add(rand.N(period))
 	}
