internal/edge: what entries tell each other carries large fleets

Change: rounds begin anywhere; a member's silence is bounded in rounds; hellos say how long ago one that watches was heard; the directory answers a window of 64. Ruled out: a bigger fan-out (bytes grow with the fleet).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -345,10 +346,16 @@
 	if !self && e.Ready() == "" {
 		addresses = append(addresses, settings.Listen())
 	}
-	if len(addresses) > maxAddresses {
-		addresses = addresses[:maxAddresses]
+	return window(addresses, rand.IntN(max(1, len(addresses))))
+}
+
+// window returns maxAddresses of the addresses at most, from one on and round, so
+// that callers of a large fleet use all of it.
+func window(addresses []string, from int) []string {
+	if len(addresses) <= maxAddresses {
+		return addresses
 	}
-	return addresses
+	return slices.Concat(addresses[from:], addresses[:from])[:maxAddresses]
 }
 
 // Status returns the entry's state.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -28,9 +29,13 @@
 	// fetchAfter is how long a peer's newer revision may be missing before it is
 	// fetched: the watch usually brings it sooner.
 	fetchAfter = 250 * time.Millisecond
-	// deadAfter is how long a member that the store still lists may be silent, if
-	// others are heard, before callers are told of it no more.
+	// deadAfter is the least time for which a member that the store still lists may be
+	// silent, if others are heard, before callers are told of it no more. Its lease
+	// ends after memberTTL anyway; this is for times when the store is disturbed.
 	deadAfter = 2500 * time.Millisecond
+	// deadRounds is the same in rounds of hellos, for large fleets: two in a row that
+	// are lost say nothing.
+	deadRounds = 2.5
 )
 
 // peers exchanges news with other entries and with agents.
@@ -44,8 +49,8 @@
 	aheadAt time.Time
 	from    string
 	fromAt  netip.AddrPort
-	told    int
-	relay   time.Time
+	round   rotation
+	relay   relayNews
 	// wake is signalled when a peer is ahead.
 	wake chan struct{}
 }
@@ -59,31 +64,57 @@
 	pairs    []store.Pair
 }
 
-// sinceRelay returns how long no entry has told that it watches the store.
+// sinceRelay returns how long no entry that watches the store has spoken.
 func (p *peers) sinceRelay() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Since(p.relay)
+	return time.Since(p.relay.at)
 }
 
 func newPeers(e *Entry) *peers {
-	return &peers{entry: e, heard: make(map[string]time.Time), wake: make(chan struct{}, 1)}
+	return &peers{entry: e, heard: make(map[string]time.Time), wake: make(chan struct{}, 1), round: newRotation()}
+}
+
+// rotation goes round the members, a few at a time. It begins anywhere, so that
+// entries that start together don't all tell the same ones.
+type rotation struct {
+	at int
+}
+
+func newRotation() rotation { return rotation{at: rand.IntN(1 << 20)} }
+
+// next returns the members that are due.
+func (r *rotation) next(members []table.Member) []table.Member {
+	var due []table.Member
+	for range min(helloFanout, len(members)) {
+		r.at++
+		due = append(due, members[r.at%len(members)])
+	}
+	return due
+}
+
+// silence returns how long a member of a fleet may be silent before it counts as
+// dead.
+func silence(members int) time.Duration {
+	ticks := (members + helloFanout - 1) / helloFanout
+	return max(deadAfter, time.Duration(deadRounds*float64(ticks)*float64(helloPeriod)))
 }
 
 // isAlive reports whether callers may be told of a member: it was heard lately,
 // or this entry can't tell.
 func (p *peers) isAlive(member table.Member) bool {
+	limit := silence(len(p.entry.picture.Load().Members()))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	if now.Sub(p.heard[member.Name()]) < deadAfter {
+	if now.Sub(p.heard[member.Name()]) < limit {
 		return true
 	}
 	others := false
 	for _, at := range p.heard {
-		others = others || now.Sub(at) < deadAfter
+		others = others || now.Sub(at) < limit
 	}
-	return !others || now.Sub(p.first) < deadAfter
+	return !others || now.Sub(p.first) < limit
 }
 
 // run sends what is due until ctx ends.
@@ -126,10 +157,8 @@
 func (p *peers) hello() {
 	e := p.entry
 	message := p.helloMessage(e.follower.revision(), e.follower.isWatching())
-	members := e.picture.Load().Members()
-	for range min(helloFanout, len(members)) {
-		p.told++
-		p.tell(members[p.told%len(members)], message)
+	for _, member := range p.round.next(e.picture.Load().Members()) {
+		p.tell(member, message)
 	}
 }
 
@@ -146,12 +175,44 @@
 }
 
 func (p *peers) helloMessage(revision uint64, watching bool) *wirepb.Datagram {
-	return &wirepb.Datagram{Body: &wirepb.Datagram_Hello{Hello: &wirepb.Hello{
+	hello := &wirepb.Hello{
 		Name:     p.entry.settings.Load().Name(),
 		Revision: revision,
 		Suspects: p.entry.crashes.suspects(),
 		Watching: watching,
-	}}}
+	}
+	p.mu.Lock()
+	p.relay.tell(hello, time.Now())
+	p.mu.Unlock()
+	return &wirepb.Datagram{Body: &wirepb.Datagram_Hello{Hello: hello}}
+}
+
+// relayNews is when an entry that watches the store was last known to speak, to this
+// entry or to others that said so: in a large fleet each one speaks to an entry only
+// every few seconds.
+type relayNews struct {
+	at time.Time
+}
+
+// tell puts the news into a hello.
+func (r *relayNews) tell(hello *wirepb.Hello, now time.Time) {
+	if !r.at.IsZero() {
+		age := uint32(min(max(0, now.Sub(r.at)), time.Hour).Milliseconds())
+		hello.RelayAgeMs = &age
+	}
+}
+
+// hear takes the news from a hello.
+func (r *relayNews) hear(hello *wirepb.Hello, now time.Time) {
+	switch {
+	case hello.GetWatching():
+		r.at = now
+	case hello.RelayAgeMs != nil:
+		at := now.Add(-time.Duration(hello.GetRelayAgeMs()) * time.Millisecond)
+		if at.After(r.at) {
+			r.at = at
+		}
+	}
 }
 
 func (p *peers) tell(member table.Member, message *wirepb.Datagram) {
@@ -218,9 +279,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.heard[hello.GetName()] = now
-	if hello.GetWatching() {
-		p.relay = now
-	}
+	p.relay.hear(hello, now)
 	if hello.GetRevision() <= known {
 		return
 	}
