pkg/seat: the decisions of an entry's queue and places as a package of their own

Change: service and queue move to pkg/seat, with clock and random numbers as options; Ask, Leave and Turn decide without blocking, Place waits on top. No decision changes. request_decided logs no patience where none was set (it logged -2^63 ns for denied requests).

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/lentilstand/lentilstand/internal/conns"
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/webio"
+	"github.com/lentilstand/lentilstand/pkg/seat"
 	"github.com/lentilstand/lentilstand/pkg/table"
 	"github.com/lentilstand/lentilstand/platform"
 )
@@ -52,26 +53,26 @@
 func (r *request) run(ctx context.Context) {
 	e := r.entry
 	allowed := r.allowance()
-	e.budget.request(r.service.name, r.began, allowed)
-	ticket := ticket{
-		priority: r.team.Priority(r.route), returning: e.isReturning(r), tried: r.tried,
-		patience: time.Duration(float64(r.route.Aim()) * waitShare),
+	e.budget.request(r.service.Name(), r.began, allowed)
+	ticket := seat.Ticket{
+		Priority: r.team.Priority(r.route), Returning: e.isReturning(r), Tried: r.tried,
+		Patience: time.Duration(float64(r.route.Aim()) * seat.WaitShare),
 	}
-	if ticket.returning {
-		ticket.patience = min(returningWait, time.Until(r.deadline)/2)
+	if ticket.Returning {
+		ticket.Patience = min(seat.ReturningWait, time.Until(r.deadline)/2)
 	}
 	dials := 0
 	var held *wholeAnswer
 	relay := &relay{request: r}
 	for {
-		if r.sends > 0 && !e.budget.spend(r.service.name, time.Now(), allowed) {
-			event.RetryDenied.Log(e.logger, zap.String("request", r.call.ID), zap.String("service", r.service.name))
+		if r.sends > 0 && !e.budget.spend(r.service.Name(), time.Now(), allowed) {
+			event.RetryDenied.Log(e.logger, zap.String("request", r.call.ID), zap.String("service", r.service.Name()))
 			break
 		}
-		if ticket.resuming = r.resumes(relay); ticket.resuming {
-			ticket.patience = min(returningWait, time.Until(r.deadline)/2)
+		if ticket.Resuming = r.resumes(relay); ticket.Resuming {
+			ticket.Patience = min(seat.ReturningWait, time.Until(r.deadline)/2)
 		}
-		given, err := r.service.place(ctx, ticket)
+		given, err := r.service.Place(ctx, ticket)
 		if err != nil {
 			if r.sends == 0 {
 				r.turnAway(ctx, err)
@@ -79,11 +80,11 @@
 			}
 			break
 		}
-		r.tried[given.spec.ID()] = true
+		r.tried[given.Endpoint().ID()] = true
 		at := time.Since(r.began)
 		result, answer, reason := r.send(ctx, given, relay)
-		r.service.release(given.endpoint)
-		r.attempts = append(r.attempts, attempt{endpoint: given.spec.ID(), at: at, result: reason})
+		r.service.Release(given)
+		r.attempts = append(r.attempts, attempt{endpoint: given.Endpoint().ID(), at: at, result: reason})
 		if answer != nil {
 			held = answer
 		}
@@ -96,7 +97,7 @@
 				continue
 			}
 		case notRun:
-			r.service.groupRefused(given.endpoint)
+			r.service.GroupRefused(given)
 			r.sends++
 		default:
 			r.sends++
@@ -124,21 +125,21 @@
 }
 
 // judge takes note of what an attempt says of its endpoint and of the request.
-func (r *request) judge(ctx context.Context, given seat, result ending, reason string) {
+func (r *request) judge(ctx context.Context, given seat.Seat, result ending, reason string) {
 	switch {
 	case result == done && r.status < http.StatusInternalServerError:
-		r.service.succeeded(given.endpoint)
+		r.service.Succeeded(given)
 		r.entry.crashes.clear(r.mark)
 	case result == failed && ctx.Err() == nil:
-		r.service.failed(given.endpoint, reason)
+		r.service.Failed(given, reason)
 		if reason != errQuiet.Error() {
-			r.entry.crashes.cut(r.mark, given.spec.Incarnation())
+			r.entry.crashes.cut(r.mark, given.Endpoint().Incarnation())
 		}
 	case result == unsent && ctx.Err() == nil, result == failed && errors.Is(ctx.Err(), context.DeadlineExceeded):
-		r.service.failed(given.endpoint, reason)
+		r.service.Failed(given, reason)
 	case result == wrong:
 		// Errors of a single request say little of the endpoint.
-		r.service.erred(given.endpoint)
+		r.service.Erred(given)
 	}
 }
 
@@ -155,7 +156,7 @@
 		r.exchange.Abort()
 		return
 	}
-	r.refuse(&refusal{http.StatusServiceUnavailable, cause.Error(), r.service.back(cause)})
+	r.refuse(&refusal{http.StatusServiceUnavailable, cause.Error(), r.service.Back(cause)})
 }
 
 // giveUp ends a request after its last attempt.
@@ -171,7 +172,7 @@
 	case held != nil:
 		r.answer(held.status, "the endpoint answered with an error", held.header, held.body)
 	case !r.ran:
-		r.refuse(&refusal{http.StatusServiceUnavailable, "no endpoint took the request", r.service.back(errNone)})
+		r.refuse(&refusal{http.StatusServiceUnavailable, "no endpoint took the request", r.service.Back(seat.ErrNone)})
 	case ctx.Err() != nil:
 		r.refuse(&refusal{status: http.StatusGatewayTimeout, reason: "no answer came in time; the request may have run"})
 	default:
@@ -187,7 +188,7 @@
 }
 
 // send makes one attempt at an endpoint and passes its answer on.
-func (r *request) send(ctx context.Context, given seat, relay *relay) (ending, *wholeAnswer, string) {
+func (r *request) send(ctx context.Context, given seat.Seat, relay *relay) (ending, *wholeAnswer, string) {
 	ctx, progress, stop := r.guard(ctx, given)
 	defer stop()
 	result, answer, reason := r.sendGuarded(ctx, given, relay, progress)
@@ -197,7 +198,7 @@
 	return result, answer, reason
 }
 
-func (r *request) sendGuarded(ctx context.Context, given seat, relay *relay, progress func()) (ending, *wholeAnswer, string) {
+func (r *request) sendGuarded(ctx context.Context, given seat.Seat, relay *relay, progress func()) (ending, *wholeAnswer, string) {
 	lastEvent := r.call.LastEvent
 	if relay.last != "" {
 		lastEvent = relay.last
@@ -208,7 +209,7 @@
 		Host:   r.host,
 		Body:   r.body,
 		Header: r.call.Header(platform.Attempt{
-			EndpointID: given.spec.ID(),
+			EndpointID: given.Endpoint().ID(),
 			Team:       r.team.Name(),
 			Remaining:  time.Until(r.deadline),
 			LastEvent:  lastEvent,
@@ -216,7 +217,7 @@
 		}),
 	}
 	var reply platform.Reply
-	answer, err := r.entry.pool.Send(ctx, given.spec.Address(), outgoing, func(status int, header http.Header) bool {
+	answer, err := r.entry.pool.Send(ctx, given.Endpoint().Address(), outgoing, func(status int, header http.Header) bool {
 		reply = platform.ReadReply(status, header)
 		return reply.RequestID == r.call.ID || (reply.RequestID == "" && reply.NotRun)
 	})
@@ -228,7 +229,7 @@
 	}
 	defer answer.Close()
 	if reply.HasLoad {
-		r.service.shown(given.endpoint, reply.Running, reply.Waiting, reply.Slots)
+		r.service.Shown(given, reply.Running, reply.Waiting, reply.Slots)
 	}
 	if reply.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxWholeBytes))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,6 +30,7 @@
 	"github.com/lentilstand/lentilstand/internal/prefs"
 	"github.com/lentilstand/lentilstand/internal/webio"
 	"github.com/lentilstand/lentilstand/pkg/belief"
+	"github.com/lentilstand/lentilstand/pkg/seat"
 	"github.com/lentilstand/lentilstand/pkg/table"
 	"github.com/lentilstand/lentilstand/platform"
 )
@@ -67,7 +68,7 @@
 	first    meter.Histogram
 
 	mu       sync.Mutex
-	services map[string]*service
+	services map[string]*seat.Service
 	patience map[string]time.Duration
 
 	callers   *webio.Server
@@ -90,7 +91,7 @@
 		logger:   logger,
 		meter:    metrics,
 		store:    platform.NewStore(settings.Store(), settings.Name()),
-		services: make(map[string]*service),
+		services: make(map[string]*seat.Service),
 		patience: make(map[string]time.Duration),
 		crashes:  newCrashes(logger),
 		log:      newRequestLog(logger),
@@ -204,15 +205,15 @@
 }
 
 // service returns the state of a service's endpoints.
-func (e *Entry) service(name string) *service {
+func (e *Entry) service(name string) *seat.Service {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.services[name]
 	if s == nil {
-		s = &service{name: name, own: e.settings.Load().DataCentre(), logger: e.logger}
-		s.others = func() int { return max(0, len(e.picture.Load().Members())-1) }
-		s.cold = func() float64 { return e.coldShare(name) }
-		s.update(e.picture.Load(), time.Now())
+		s = seat.New(name, e.settings.Load().DataCentre(), e.logger,
+			seat.WithOthers(func() int { return max(0, len(e.picture.Load().Members())-1) }),
+			seat.WithCold(func() float64 { return e.coldShare(name) }))
+		update(s, e.picture.Load())
 		e.services[name] = s
 	}
 	return s
@@ -249,7 +250,14 @@
 	return r.call.LastEvent != "" || float64(r.call.Patience) < returningShare*float64(usual)
 }
 
-func (e *Entry) allServices() []*service {
+// update tells a service what a picture says of it.
+func update(s *seat.Service, picture *belief.Picture) {
+	t := picture.Table()
+	engine := t != nil && t.Service(s.Name()) != nil && t.Service(s.Name()).Engine() != nil
+	s.Update(picture.Endpoints(s.Name()), engine, picture.Evacuated, picture.Revision())
+}
+
+func (e *Entry) allServices() []*seat.Service {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return slices.Collect(maps.Values(e.services))
@@ -258,9 +266,8 @@
 // publish makes a picture the one that requests are decided by.
 func (e *Entry) publish(picture *belief.Picture) {
 	e.picture.Store(picture)
-	now := time.Now()
 	for _, s := range e.allServices() {
-		s.update(picture, now)
+		update(s, picture)
 	}
 	if t := picture.Table(); t != nil {
 		t.Services(func(s *table.Service) { e.service(s.Name()) })
@@ -277,7 +284,7 @@
 		e.picture.Load().Each(func(endpoint *table.Endpoint) { known[endpoint.Address()] = true })
 		e.pool.Prune(now, func(address netip.AddrPort) bool { return known[address] })
 		for _, s := range e.allServices() {
-			s.forgive(now)
+			s.Forgive()
 		}
 		e.log.flush(now)
 	}
--- a/internal/edge/guard.go
+++ b/internal/edge/guard.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/lentilstand/lentilstand/pkg/seat"
 )
 
 // Bounds of an attempt at an endpoint that falls silent.
@@ -24,14 +26,14 @@
 // silence alone is no reason to end an answer.
 func (r *request) mayMove() bool {
 	return r.sends+1 < r.route.Attempts() &&
-		r.entry.budget.allows(r.service.name, time.Now(), r.allowance()) &&
-		r.service.hasRoom(ticket{resuming: true, tried: r.tried})
+		r.entry.budget.allows(r.service.Name(), time.Now(), r.allowance()) &&
+		r.service.HasRoom(seat.Ticket{Resuming: true, Tried: r.tried})
 }
 
 // guard ends the returned context when the endpoint falls silent together with
 // its agent, if the request may go on elsewhere. Progress tells of each sign of
 // life.
-func (r *request) guard(ctx context.Context, given seat) (guarded context.Context, progress, stop func()) {
+func (r *request) guard(ctx context.Context, given seat.Seat) (guarded context.Context, progress, stop func()) {
 	if !r.route.Repeatable() {
 		return ctx, func() {}, func() {}
 	}
@@ -50,7 +52,7 @@
 				return
 			case <-ticker.C:
 			}
-			if time.Since(time.Unix(0, last.Load())) > quietBound && r.service.isSilent(given.endpoint) && r.mayMove() {
+			if time.Since(time.Unix(0, last.Load())) > quietBound && r.service.IsSilent(given) && r.mayMove() {
 				cancel(errQuiet)
 				return
 			}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -9,9 +9,11 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilstand/lentilstand/internal/dgram"
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/link"
 	"github.com/lentilstand/lentilstand/internal/wirepb"
+	"github.com/lentilstand/lentilstand/pkg/seat"
 	"github.com/lentilstand/lentilstand/pkg/store"
 	"github.com/lentilstand/lentilstand/pkg/table"
 )
@@ -243,7 +245,7 @@
 			Spare:   uint32(engine.Spare),
 			PauseMs: uint32(picture.Table().ShortestPause(service.Name()).Milliseconds()),
 		}
-		informed, uninformed := e.service(service.Name()).informed(agents, time.Now())
+		informed, uninformed := informed(agents, e.service(service.Name()).AgentsKnown())
 		e.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Subscribe{Subscribe: asked}}, informed...)
 		if len(uninformed) == 0 {
 			return
@@ -255,6 +257,27 @@
 	})
 }
 
+// informed splits the agents into those that know of all of them, by what each host's
+// agent has shown to know, and the others.
+func informed(agents []netip.AddrPort, known map[netip.Addr]uint32) (informed, uninformed []netip.AddrPort) {
+	current := dgram.Fingerprint(agents)
+	for _, agent := range agents {
+		if known[agent.Addr()] == current {
+			informed = append(informed, agent)
+		} else {
+			uninformed = append(uninformed, agent)
+		}
+	}
+	return informed, uninformed
+}
+
+func reportOf(load *wirepb.Load) seat.Report {
+	return seat.Report{
+		Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Pace: load.GetPace(),
+		Opens: load.GetOpen() && load.GetReachable(), AgentsKnown: load.GetAgentsKnown(),
+	}
+}
+
 // receive takes a datagram.
 func (p *peers) receive(from netip.AddrPort, message *wirepb.Datagram) {
 	switch body := message.GetBody().(type) {
@@ -262,7 +285,7 @@
 		p.heardHello(from, body.Hello)
 	case *wirepb.Datagram_Load:
 		for _, s := range p.entry.allServices() {
-			if s.heardFrom(from.Addr(), body.Load) {
+			if s.Heard(from.Addr(), reportOf(body.Load)) {
 				return
 			}
 		}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/lentilstand/lentilstand/internal/webio"
 	"github.com/lentilstand/lentilstand/pkg/belief"
+	"github.com/lentilstand/lentilstand/pkg/seat"
 	"github.com/lentilstand/lentilstand/pkg/table"
 	"github.com/lentilstand/lentilstand/platform"
 )
@@ -29,7 +30,7 @@
 	picture  *belief.Picture
 	route    *table.Route
 	team     table.Team
-	service  *service
+	service  *seat.Service
 	method   string
 	target   string
 	host     string
@@ -176,7 +177,7 @@
 	}
 	name := ""
 	if r.service != nil {
-		name = r.service.name
+		name = r.service.Name()
 	}
 	r.entry.ended.Add(1, result)
 	if served {
@@ -200,7 +201,10 @@
 		fields = append(fields, zap.Uint64("version", t.Version()))
 	}
 	if r.route != nil {
-		fields = append(fields, zap.String("route", r.route.Name()), zap.Int64("patience_ms", r.deadline.Sub(r.began).Milliseconds()))
+		fields = append(fields, zap.String("route", r.route.Name()))
+	}
+	if !r.deadline.IsZero() {
+		fields = append(fields, zap.Int64("patience_ms", r.deadline.Sub(r.began).Milliseconds()))
 	}
 	r.entry.log.write(served, fields...)
 }
--- /dev/null
+++ b/pkg/seat/line.go
@@ -0,0 +1,184 @@
+package seat
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/lentilstand/lentilstand/pkg/pick"
+)
+
+// noteOutage learns how long the service is without endpoints. The caller holds
+// the lock.
+func (s *Service) noteOutage(closed bool, now time.Time) {
+	switch {
+	case closed && s.closedAt.IsZero():
+		s.closedAt = now
+	case !closed && !s.closedAt.IsZero():
+		s.outage = (s.expectedOutage() + now.Sub(s.closedAt)) / 2
+		s.closedAt = time.Time{}
+	}
+}
+
+func (s *Service) expectedOutage() time.Duration {
+	if s.outage == 0 {
+		return usualOutage
+	}
+	return s.outage
+}
+
+// Back returns when a caller who was refused with cause may come back: when there
+// should be room again, spread so that not all come at once.
+func (s *Service) Back(cause error) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if errors.Is(cause, ErrNone) && !s.closedAt.IsZero() {
+		return max(leastBack, s.expectedOutage()-s.now().Sub(s.closedAt)) + s.draw(outageSpread)
+	}
+	return leastBack + s.draw(leastBack)
+}
+
+// Ask gives a request a seat, lets it wait, or refuses it: at once what would wait
+// longer than its patience, and those who can come back when there is no endpoint
+// at all. Who waits must Leave.
+func (s *Service) Ask(t Ticket) (Seat, *Waiter, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	ahead := 0
+	for _, w := range s.waiting {
+		if !t.before(w.ticket) {
+			ahead++
+		}
+	}
+	verdict := pick.Full
+	if ahead == 0 {
+		var given Seat
+		if given, verdict = s.take(t, now); verdict == pick.Chosen {
+			return given, nil, nil
+		}
+	}
+	if reason := s.refuses(t, verdict, ahead, now); reason != nil {
+		return Seat{}, nil, reason
+	}
+	w := &Waiter{ticket: t, turn: make(chan Seat, 1)}
+	s.waiting = append(s.waiting, w)
+	return Seat{}, w, nil
+}
+
+// Place gives a request a seat after a wait of at most the ticket's patience, or
+// refuses it with ErrFull, ErrNone, ErrLate or the error of ctx.
+func (s *Service) Place(ctx context.Context, t Ticket) (Seat, error) {
+	given, w, err := s.Ask(t)
+	if w == nil {
+		return given, err
+	}
+	timer := time.NewTimer(t.Patience)
+	defer timer.Stop()
+	select {
+	case given := <-w.turn:
+		return given, nil
+	case <-timer.C:
+		return s.Leave(w, ErrLate)
+	case <-ctx.Done():
+		given, err := s.Leave(w, ctx.Err())
+		if err == nil {
+			s.Release(given)
+			err = ctx.Err()
+		}
+		return Seat{}, err
+	}
+}
+
+// refuses returns why a request had better not wait, nil if it may. The caller
+// holds the lock.
+func (s *Service) refuses(t Ticket, verdict pick.Verdict, ahead int, now time.Time) error {
+	if verdict == pick.None {
+		reopens := s.closedAt.Add(s.expectedOutage())
+		if !t.Returning || s.closedAt.IsZero() || len(t.Tried) > 0 || reopens.Sub(now) > t.Patience {
+			return ErrNone
+		}
+		return nil
+	}
+	if s.ending(now)*t.Patience.Seconds() < float64(ahead+1) {
+		return ErrFull
+	}
+	return nil
+}
+
+// ending returns how many of this entry's requests end in a second: as many as did
+// lately, and at least its part of what the slots bear. The caller holds the lock.
+func (s *Service) ending(now time.Time) float64 {
+	slots := 0
+	for _, e := range s.endpoints {
+		slots += e.slots
+	}
+	return max(s.finished.at(now), float64(slots)/float64(1+s.others())/usualRun.Seconds())
+}
+
+// Leave takes a waiter out of the line and returns the reason, unless its turn has
+// just come: then it returns the seat.
+func (s *Service) Leave(w *Waiter, reason error) (Seat, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at := slices.Index(s.waiting, w); at >= 0 {
+		s.waiting = slices.Delete(s.waiting, at, at+1)
+		return Seat{}, reason
+	}
+	return <-w.turn, nil
+}
+
+// serveWaiting gives room to those who wait, by priority and then by time. The
+// caller holds the lock.
+func (s *Service) serveWaiting(now time.Time) {
+	for len(s.waiting) > 0 {
+		next := 0
+		for i, w := range s.waiting {
+			if w.ticket.before(s.waiting[next].ticket) {
+				next = i
+			}
+		}
+		w := s.waiting[next]
+		given, verdict := s.take(w.ticket, now)
+		if verdict != pick.Chosen {
+			return
+		}
+		s.waiting = slices.Delete(s.waiting, next, next+1)
+		w.turn <- given
+	}
+}
+
+// Waiter is a request that waits for a seat.
+type Waiter struct {
+	ticket Ticket
+	turn   chan Seat
+}
+
+// Turn yields the seat once it is the waiter's turn.
+func (w *Waiter) Turn() <-chan Seat { return w.turn }
+
+// Ticket describes a request that wants a seat.
+type Ticket struct {
+	// Priority is the more urgent the lower it is.
+	Priority int
+	// Returning callers were refused before and don't come again.
+	Returning bool
+	// Resuming streams have begun at another endpoint.
+	Resuming bool
+	// Patience is how long the request may wait for a seat.
+	Patience time.Duration
+	// Tried holds the endpoints that had an attempt of the request.
+	Tried map[string]bool
+}
+
+// before reports whether a request goes before another that came earlier.
+func (t Ticket) before(other Ticket) bool {
+	if t.Resuming != other.Resuming {
+		return t.Resuming
+	}
+	if t.Priority != other.Priority {
+		return t.Priority < other.Priority
+	}
+	return t.Returning && !other.Returning
+}
--- a/internal/edge/service.go
+++ b/pkg/seat/service.go
@@ -1,4 +1,4 @@
-package edge
+package seat
 
 import (
 	"math"
@@ -11,10 +11,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"github.com/lentilstand/lentilstand/internal/dgram"
 	"github.com/lentilstand/lentilstand/internal/event"
-	"github.com/lentilstand/lentilstand/internal/wirepb"
-	"github.com/lentilstand/lentilstand/pkg/belief"
 	"github.com/lentilstand/lentilstand/pkg/pick"
 	"github.com/lentilstand/lentilstand/pkg/table"
 )
@@ -45,14 +42,14 @@
 	// quietAgent is the same for a stream that has had no event for quietBound, which
 	// is a sign by itself: three reports are missing.
 	quietAgent = 300 * time.Millisecond
-	// waitShare is the share of a route's aim that a request may wait for room.
-	waitShare = 0.25
+	// WaitShare is the share of a route's aim that a request may wait for room.
+	WaitShare = 0.25
 	// usualOutage is how long a service is taken to be without endpoints before it
 	// has shown how long that takes: ranks restart and form a group in about that time.
 	usualOutage = 2200 * time.Millisecond
-	// returningWait is how long a caller who came back may wait for room: it won't
+	// ReturningWait is how long a caller who came back may wait for room: it won't
 	// come again, and gives up a stream that is silent for two seconds.
-	returningWait = 1500 * time.Millisecond
+	ReturningWait = 1500 * time.Millisecond
 	// groupRefusal is how long a group's refusal of one request counts for all of its
 	// ranks, which only run together; agents tell sooner when they run again.
 	groupRefusal = 200 * time.Millisecond
@@ -73,10 +70,12 @@
 
 // Errors of place. All of them mean that nothing was sent.
 var (
-	errFull = eris.New("all endpoints are busy")
-	errNone = eris.New("no endpoint takes requests")
-	// errLate says that the request would begin too late to be of use.
-	errLate = eris.New("the request would begin too late")
+	// ErrFull says that endpoints run, but none will have room in time.
+	ErrFull = eris.New("all endpoints are busy")
+	// ErrNone says that no endpoint runs.
+	ErrNone = eris.New("no endpoint takes requests")
+	// ErrLate says that the request would begin too late to be of use.
+	ErrLate = eris.New("the request would begin too late")
 )
 
 // endpoint is what the entry knows of one endpoint, under its service's lock.
@@ -108,31 +107,47 @@
 }
 
 // blame adds to the failures.
-func (e *endpoint) blame(weight float64) {
-	now := time.Now()
+func (e *endpoint) blame(weight float64, now time.Time) {
 	e.failures, e.failedAt = e.failing(now)+weight, now
 }
 
-// seat is a request's place at an endpoint, as that was when it was given.
-type seat struct {
+// Seat is a request's place at an endpoint, as that was when it was given.
+type Seat struct {
 	endpoint *endpoint
 	spec     *table.Endpoint
 }
 
-// service holds the endpoints of a service and the requests that wait for them.
-type service struct {
+// Endpoint returns the endpoint.
+func (s Seat) Endpoint() *table.Endpoint { return s.spec }
+
+// Report is what an agent tells of its endpoint.
+type Report struct {
+	// Running and Waiting are the requests of all entries there.
+	Running, Waiting int
+	// Pace over 1 means that the endpoint is slower than its kind.
+	Pace float64
+	// Opens says that the endpoint can be reached and takes requests.
+	Opens bool
+	// AgentsKnown is the fingerprint of the agents that the agent knows, 0 for none.
+	AgentsKnown uint32
+}
+
+// Service holds the endpoints of a service and the requests that wait for them, as
+// one entry sees them. Use New. It is safe for concurrent use.
+type Service struct {
 	name   string
 	own    string
 	logger *zap.Logger
 	cold   func() (perSecond float64)
-	// others returns how many other entries there are.
 	others func() int
+	now    func() time.Time
 
 	mu        sync.Mutex
+	random    *rand.Rand
 	engine    bool
 	endpoints []*endpoint
 	evacuated map[string]bool
-	waiting   []*waiter
+	waiting   []*Waiter
 	finished  rate
 	sent      rate
 	refusedAt time.Time
@@ -140,6 +155,55 @@
 	outage    time.Duration
 }
 
+// Option changes what a Service is made of.
+type Option func(*Service)
+
+// WithCold sets how many requests in a second this entry may send a cold endpoint,
+// zero for no bound.
+func WithCold(perSecond func() float64) Option {
+	return func(s *Service) { s.cold = perSecond }
+}
+
+// WithOthers sets how many other entries there are.
+func WithOthers(others func() int) Option {
+	return func(s *Service) { s.others = others }
+}
+
+// WithClock sets the clock, for play in simulated time.
+func WithClock(now func() time.Time) Option {
+	return func(s *Service) { s.now = now }
+}
+
+// WithRandom sets the source of random numbers.
+func WithRandom(source rand.Source) Option {
+	return func(s *Service) { s.random = rand.New(source) }
+}
+
+// New returns a service without endpoints, as an entry in a data centre sees it.
+func New(name, dataCentre string, logger *zap.Logger, options ...Option) *Service {
+	s := &Service{
+		name:   name,
+		own:    dataCentre,
+		logger: logger,
+		cold:   func() float64 { return 0 },
+		others: func() int { return 0 },
+		now:    time.Now,
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	for _, option := range options {
+		option(s)
+	}
+	return s
+}
+
+// Name returns the service's name.
+func (s *Service) Name() string { return s.name }
+
+// draw returns a random span below a bound. The caller holds the lock.
+func (s *Service) draw(below time.Duration) time.Duration {
+	return time.Duration(s.random.Int64N(int64(below)))
+}
+
 // rate counts what happens in a second, smoothed.
 type rate struct {
 	perSecond float64
@@ -157,11 +221,12 @@
 	return r.perSecond * math.Exp2(-now.Sub(r.last).Seconds()/rateHalfLife.Seconds())
 }
 
-// update takes in the endpoints of a picture.
-func (s *service) update(picture *belief.Picture, now time.Time) {
+// Update takes in the service's endpoints as of a revision of the store: whether they
+// are model replicas, and from which data centres nothing may be used.
+func (s *Service) Update(specs []*table.Endpoint, engine bool, evacuated func(dataCentre string) bool, revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	specs := picture.Endpoints(s.name)
+	now := s.now()
 	kept := make([]*endpoint, 0, len(specs))
 	for _, spec := range specs {
 		e := s.find(spec.ID())
@@ -177,7 +242,7 @@
 			event.EndpointCold.Log(s.logger, zap.String("endpoint", spec.ID()), zap.Duration("cold_for", spec.ColdFor()))
 		}
 		if spec.Draining() && !e.draining {
-			event.EndpointLeaving.Log(s.logger, zap.String("endpoint", spec.ID()), zap.Uint64("revision", picture.Revision()))
+			event.EndpointLeaving.Log(s.logger, zap.String("endpoint", spec.ID()), zap.Uint64("revision", revision))
 		}
 		e.spec, e.draining = spec, spec.Draining()
 		kept = append(kept, e)
@@ -185,23 +250,22 @@
 	for _, e := range s.endpoints {
 		if !slices.Contains(kept, e) {
 			event.EndpointRemoved.Log(s.logger, zap.String("service", s.name), zap.String("endpoint", e.spec.ID()),
-				zap.Uint64("revision", picture.Revision()))
+				zap.Uint64("revision", revision))
 		}
 	}
 	s.endpoints = kept
 	s.evacuated = make(map[string]bool)
 	for _, e := range kept {
-		if picture.Evacuated(e.spec.DataCentre()) {
+		if evacuated(e.spec.DataCentre()) {
 			s.evacuated[e.spec.DataCentre()] = true
 		}
 	}
-	table := picture.Table()
-	s.engine = table != nil && table.Service(s.name) != nil && table.Service(s.name).Engine() != nil
+	s.engine = engine
 	s.serveWaiting(now)
 }
 
 // find returns the endpoint of an id. The caller holds the lock.
-func (s *service) find(id string) *endpoint {
+func (s *Service) find(id string) *endpoint {
 	for _, e := range s.endpoints {
 		if e.spec.ID() == id {
 			return e
@@ -211,7 +275,7 @@
 }
 
 // loads returns what the choice needs to know. The caller holds the lock.
-func (s *service) loads(tried map[string]bool, now time.Time) []pick.Load {
+func (s *Service) loads(tried map[string]bool, now time.Time) []pick.Load {
 	loads := make([]pick.Load, len(s.endpoints))
 	perSecond := s.cold()
 	heard := slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.agent && now.Sub(e.heard) <= agentSilence })
@@ -233,7 +297,7 @@
 			// A host that stands still takes its agent along, and what is sent there
 			// arrives when nobody waits for it any more.
 			Closed:  e.draining || s.evacuated[e.spec.DataCentre()] || (e.closed && !silent) || (silent && heard),
-			Spent:   perSecond > 0 && now.Before(e.coldUntil) && e.isSpent(now, perSecond),
+			Spent:   perSecond > 0 && now.Before(e.coldUntil) && e.isSpent(now, perSecond, s.draw),
 			Shunned: e.shunned,
 			Tried:   tried[e.spec.ID()],
 		}
@@ -244,13 +308,13 @@
 // isSpent reports whether a cold endpoint has had what this entry may send it. Of a
 // large fleet each entry sends one request in several seconds, and begins at a
 // random moment of these, so that they don't all begin together.
-func (e *endpoint) isSpent(now time.Time, perSecond float64) bool {
+func (e *endpoint) isSpent(now time.Time, perSecond float64, draw func(time.Duration) time.Duration) bool {
 	if perSecond >= 1 {
 		return e.sentWithin(now, time.Second)+1 > perSecond
 	}
 	period := time.Duration(coldMargin * float64(time.Second) / perSecond)
 	if e.coldTurn.IsZero() {
-		e.coldTurn = now.Add(rand.N(period))
+		e.coldTurn = now.Add(draw(period))
 	}
 	return now.Before(e.coldTurn) || e.sentWithin(now, period) > 0
 }
@@ -266,77 +330,77 @@
 }
 
 // choose returns the endpoint that takes a request now. The caller holds the lock.
-func (s *service) choose(t ticket, now time.Time) (*endpoint, pick.Verdict) {
+func (s *Service) choose(t Ticket, now time.Time) (*endpoint, pick.Verdict) {
 	extra := plainExtra
 	if s.engine {
 		extra = engineExtra
 	}
-	if t.resuming {
+	if t.Resuming {
 		extra += resumeExtra
 	}
 	if s.engine && now.Sub(s.refusedAt) < groupRefusal {
 		return nil, pick.None
 	}
-	loads := s.loads(t.tried, now)
+	loads := s.loads(t.Tried, now)
 	pick.Foresee(loads, extra, s.others(), s.sent.at(now))
-	at, verdict := pick.Choose(loads, extra, rand.Uint64())
+	at, verdict := pick.Choose(loads, extra, s.random.Uint64())
 	if verdict != pick.Chosen {
 		return nil, verdict
 	}
 	return s.endpoints[at], verdict
 }
 
-// hasRoom reports whether an endpoint would take a request now.
-func (s *service) hasRoom(t ticket) bool {
+// HasRoom reports whether an endpoint would take a request now.
+func (s *Service) HasRoom(t Ticket) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, verdict := s.choose(t, time.Now())
+	_, verdict := s.choose(t, s.now())
 	return verdict == pick.Chosen
 }
 
 // take chooses an endpoint and counts the request there. The caller holds the
 // lock.
-func (s *service) take(t ticket, now time.Time) (seat, pick.Verdict) {
+func (s *Service) take(t Ticket, now time.Time) (Seat, pick.Verdict) {
 	e, verdict := s.choose(t, now)
-	if len(t.tried) == 0 {
+	if len(t.Tried) == 0 {
 		s.noteOutage(verdict == pick.None, now)
 	}
 	if verdict != pick.Chosen {
-		return seat{}, verdict
+		return Seat{}, verdict
 	}
 	e.mine++
 	s.sent.add(now)
 	if now.Before(e.coldUntil) {
 		e.sent = append(e.sent, now)
 	}
-	return seat{endpoint: e, spec: e.spec}, pick.Chosen
+	return Seat{endpoint: e, spec: e.spec}, pick.Chosen
 }
 
-// groupRefused takes note that a rank refused a request though it had room: the
+// GroupRefused takes note that a rank refused a request though it had room: the
 // group doesn't run.
-func (s *service) groupRefused(e *endpoint) {
+func (s *Service) GroupRefused(given Seat) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.engine && e.mine < e.slots {
-		s.refusedAt = time.Now()
+	if s.engine && given.endpoint.mine < given.endpoint.slots {
+		s.refusedAt = s.now()
 	}
 }
 
-// release takes note that a request has left an endpoint.
-func (s *service) release(e *endpoint) {
+// Release takes note that a request has left its seat.
+func (s *Service) Release(given Seat) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	e.mine--
+	now := s.now()
+	given.endpoint.mine--
 	s.finished.add(now)
 	s.serveWaiting(now)
 }
 
-// succeeded and failed take note of an endpoint's outcomes.
-func (s *service) succeeded(e *endpoint) {
+// Succeeded takes note of an answer that says that the endpoint is sound.
+func (s *Service) Succeeded(given Seat) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now, e := s.now(), given.endpoint
 	e.failures, e.failedAt = e.failing(now)*0.7, now
 	if e.shunned && e.failures < trustAt {
 		e.shunned = false
@@ -344,10 +408,12 @@
 	}
 }
 
-func (s *service) failed(e *endpoint, reason string) {
+// Failed takes note of an attempt that says that the endpoint isn't sound.
+func (s *Service) Failed(given Seat, reason string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e.blame(1)
+	e := given.endpoint
+	e.blame(1, s.now())
 	if !e.shunned && e.failures >= shunAt {
 		e.shunned = true
 		event.EndpointShunned.Log(s.logger, zap.String("endpoint", e.spec.ID()), zap.String("reason", reason),
@@ -355,11 +421,19 @@
 	}
 }
 
-// forgive lets endpoints that were shunned have a trial once their failures are
-// old.
-func (s *service) forgive(now time.Time) {
+// Erred takes note of an error in an endpoint's answer, which says little of it.
+func (s *Service) Erred(given Seat) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	given.endpoint.blame(erredWeight, s.now())
+}
+
+// Forgive lets endpoints that were shunned have a trial once their failures are
+// old, and those who wait go on. It is to be called several times a second.
+func (s *Service) Forgive() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.now()
 	for _, e := range s.endpoints {
 		if e.shunned && e.failing(now) < trustAt {
 			e.shunned = false
@@ -372,24 +446,26 @@
 	s.serveWaiting(now)
 }
 
-// shown takes in the load that an answer's head shows.
-func (s *service) shown(e *endpoint, running, waiting, slots int) {
+// Shown takes in the load that an answer's head shows, unless an agent tells more.
+func (s *Service) Shown(given Seat, running, waiting, slots int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	e := given.endpoint
 	if e.agent {
 		return
 	}
-	e.reported, e.mineThen, e.heard = running+waiting, e.mine, time.Now()
+	e.reported, e.mineThen, e.heard = running+waiting, e.mine, s.now()
 	if slots > 0 {
 		e.slots = slots
 	}
 }
 
-// heardFrom takes in an agent's report on the endpoint at an IP address.
-func (s *service) heardFrom(from netip.Addr, load *wirepb.Load) bool {
+// Heard takes in an agent's report on the endpoint at an IP address. It reports
+// whether the service has that endpoint.
+func (s *Service) Heard(from netip.Addr, report Report) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := s.now()
 	for _, e := range s.endpoints {
 		if e.spec.Address().Addr() != from {
 			continue
@@ -398,53 +474,37 @@
 			e.agent = true
 			event.AgentHeard.Log(s.logger, zap.String("endpoint", e.spec.ID()))
 		}
-		e.reported, e.mineThen, e.heard = int(load.GetRunning()+load.GetWaiting()), e.mine, now
-		e.agentsKnown = load.GetAgentsKnown()
-		opens := load.GetOpen() && load.GetReachable()
-		if opens && e.closed {
+		e.reported, e.mineThen, e.heard = report.Running+report.Waiting, e.mine, now
+		e.agentsKnown = report.AgentsKnown
+		if report.Opens && e.closed {
 			s.refusedAt = time.Time{}
 		}
-		e.closed = !opens
-		e.pace = max(1, load.GetPace())
+		e.closed = !report.Opens
+		e.pace = max(1, report.Pace)
 		s.serveWaiting(now)
 		return true
 	}
 	return false
 }
 
-// informed splits the agents into those that have shown lately that they know of
-// all of them, and the others.
-func (s *service) informed(agents []netip.AddrPort, now time.Time) (informed, uninformed []netip.AddrPort) {
+// AgentsKnown returns by host the fingerprint of the agents that the agent there
+// knows, of those that were heard lately.
+func (s *Service) AgentsKnown() map[netip.Addr]uint32 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	current := dgram.Fingerprint(agents)
-	known := make(map[netip.Addr]bool)
+	now, known := s.now(), make(map[netip.Addr]uint32)
 	for _, e := range s.endpoints {
-		if e.agent && now.Sub(e.heard) <= agentSilence && e.agentsKnown == current {
-			known[e.spec.Address().Addr()] = true
-		}
-	}
-	for _, agent := range agents {
-		if known[agent.Addr()] {
-			informed = append(informed, agent)
-		} else {
-			uninformed = append(uninformed, agent)
+		if e.agent && now.Sub(e.heard) <= agentSilence {
+			known[e.spec.Address().Addr()] = e.agentsKnown
 		}
 	}
-	return informed, uninformed
+	return known
 }
 
-// isSilent reports whether an endpoint's agent was heard before and is silent
+// IsSilent reports whether an endpoint's agent was heard before and is silent
 // now, as when their host stands still or is cut off.
-func (s *service) isSilent(e *endpoint) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return e.agent && time.Since(e.heard) > quietAgent
-}
-
-// erred takes note of an error in an endpoint's answer.
-func (s *service) erred(e *endpoint) {
+func (s *Service) IsSilent(given Seat) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e.blame(erredWeight)
+	return given.endpoint.agent && s.now().Sub(given.endpoint.heard) > quietAgent
 }
--- /dev/null
+++ b/pkg/seat/service_test.go
@@ -0,0 +1,58 @@
+package seat
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fleetSizes are the entries of the sites, grown sites and the size to design for.
+var fleetSizes = []int{1, 6, 7, 31, 34, 105, 340}
+
+// TestAllEntriesTogetherSpareColdEndpoints has all entries send to one cold endpoint
+// as fast as they may: it bears 26 in a second, and in no second half as much more
+// and five may come.
+func TestAllEntriesTogetherSpareColdEndpoints(t *testing.T) {
+	const bears, bound = 26.0, 26*1.5 + 5
+	for _, members := range fleetSizes {
+		t.Run(fmt.Sprint(members), func(t *testing.T) {
+			cold := make([]endpoint, members)
+			var sent []time.Time
+			start := time.Unix(1000, 0)
+			for now := start; now.Sub(start) < 6*time.Second; now = now.Add(5 * time.Millisecond) {
+				for i := range cold {
+					if !cold[i].isSpent(now, bears/float64(members), rand.N[time.Duration]) {
+						cold[i].sent = append(cold[i].sent, now)
+						sent = append(sent, now)
+					}
+				}
+			}
+			require.NotEmpty(t, sent)
+			for first, last := 0, 0; last < len(sent); last++ {
+				for sent[last].Sub(sent[first]) >= time.Second {
+					first++
+				}
+				require.LessOrEqual(t, float64(last-first+1), float64(bound), "at %v", sent[last].Sub(start))
+			}
+		})
+	}
+}
+
+// TestWhatASilentAgentKnewIsForgotten has an agent speak and fall silent: it may have
+// started anew.
+func TestWhatASilentAgentKnewIsForgotten(t *testing.T) {
+	s := newEngineService(2, 4)
+	now := time.Unix(1000, 0)
+	s.now = func() time.Time { return now }
+	host := s.endpoints[1].spec.Address().Addr()
+	require.True(t, s.Heard(host, Report{Opens: true, AgentsKnown: 7}))
+	require.False(t, s.Heard(netip.MustParseAddr("10.9.9.9"), Report{Opens: true}), "no endpoint is there")
+	now = now.Add(agentSilence)
+	require.Equal(t, map[netip.Addr]uint32{host: 7}, s.AgentsKnown())
+	now = now.Add(time.Millisecond)
+	require.Empty(t, s.AgentsKnown())
+}
