pkg/seat: a large fleet uses all that a cold endpoint bears

Change: entries keep a period by what the endpoint bears, longer only where as many random moments as there are entries could meet (five standard deviations below the most): 3.1 s becomes 1.5 s at 34 entries, 3.6 s 1.9 s at 31.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -212,24 +212,24 @@
 	if s == nil {
 		s = seat.New(name, e.settings.Load().DataCentre(), e.logger,
 			seat.WithOthers(func() int { return max(0, len(e.picture.Load().Members())-1) }),
-			seat.WithCold(func() float64 { return e.coldShare(name) }))
+			seat.WithCold(func() seat.Cold { return e.cold(name) }))
 		update(s, e.picture.Load())
 		e.services[name] = s
 	}
 	return s
 }
 
-// coldShare returns how many requests this entry may send a cold endpoint of a
-// service in a second, zero if there is no bound. All entries together stay below
-// what it bears, whichever of them are counted as members.
-func (e *Entry) coldShare(name string) float64 {
+// cold returns what a cold endpoint of a service may be sent by all entries,
+// whichever of them are counted as members.
+func (e *Entry) cold(name string) seat.Cold {
 	picture := e.picture.Load()
 	t := picture.Table()
 	if t == nil || t.Service(name) == nil || t.Service(name).ColdPerSecond() <= 0 {
-		return 0
+		return seat.Cold{}
 	}
-	factor, _ := e.settings.Load().ColdBound()
-	return t.Service(name).ColdPerSecond() * min(1, factor) / float64(max(1, len(picture.Members())))
+	factor, extra := e.settings.Load().ColdBound()
+	bears := t.Service(name).ColdPerSecond()
+	return seat.Cold{Bears: bears * min(1, factor), Most: bears*factor + extra, Entries: max(1, len(picture.Members()))}
 }
 
 // returningShare is the share of a route's usual patience below which a caller is
--- a/pkg/seat/service.go
+++ b/pkg/seat/service.go
@@ -23,10 +23,10 @@
 	engineExtra = 2
 	// plainExtra is the same for endpoints of plain services.
 	plainExtra = 4
-	// coldMargin is by how much entries of a large fleet stay below their part of what
-	// a cold endpoint bears: their moments are random, and at the full part of 26 a
-	// second more than 44 met in one second now and then.
-	coldMargin = 2
+	// coldSpread is by how many standard deviations what a cold endpoint gets in a second
+	// stays below the most that it may get, where entries send at random moments: five
+	// are exceeded once in some million seconds.
+	coldSpread = 5
 	// resumeExtra is how many streams that go on from another endpoint may stand at
 	// one beyond that: their callers have a part of the answer and leave after two
 	// seconds of silence, and they go first there.
@@ -138,7 +138,7 @@
 	name   string
 	own    string
 	logger *zap.Logger
-	cold   func() (perSecond float64)
+	cold   func() Cold
 	others func() int
 	now    func() time.Time
 
@@ -158,10 +158,38 @@
 // Option changes what a Service is made of.
 type Option func(*Service)
 
-// WithCold sets how many requests in a second this entry may send a cold endpoint,
-// zero for no bound.
-func WithCold(perSecond func() float64) Option {
-	return func(s *Service) { s.cold = perSecond }
+// Cold is what a cold endpoint may be sent in a second.
+type Cold struct {
+	// Bears is what it bears, zero for no bound.
+	Bears float64
+	// Most is what must never be exceeded.
+	Most float64
+	// Entries is how many entries may send to it.
+	Entries int
+}
+
+// share returns how many requests each entry may send in a second.
+func (c Cold) share() float64 { return c.Bears / float64(max(1, c.Entries)) }
+
+// period returns the time between two requests of an entry whose share is below one:
+// all entries together send what the endpoint bears, or less if that many random
+// moments could meet in one second.
+func (c Cold) period() time.Duration {
+	rate := c.Bears
+	if float64(c.Entries) > c.Most {
+		// The largest rate for which rate + coldSpread·√rate is Most.
+		root := (math.Sqrt(coldSpread*coldSpread+4*max(0, c.Most)) - coldSpread) / 2
+		rate = min(rate, root*root)
+	}
+	return time.Duration(float64(c.Entries) / max(rate, leastCold) * float64(time.Second))
+}
+
+// leastCold keeps a cold endpoint in use, in requests a second of all entries.
+const leastCold = 0.1
+
+// WithCold sets what a cold endpoint of the service may be sent.
+func WithCold(cold func() Cold) Option {
+	return func(s *Service) { s.cold = cold }
 }
 
 // WithOthers sets how many other entries there are.
@@ -185,7 +213,7 @@
 		name:   name,
 		own:    dataCentre,
 		logger: logger,
-		cold:   func() float64 { return 0 },
+		cold:   func() Cold { return Cold{} },
 		others: func() int { return 0 },
 		now:    time.Now,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -277,7 +305,7 @@
 // loads returns what the choice needs to know. The caller holds the lock.
 func (s *Service) loads(tried map[string]bool, now time.Time) []pick.Load {
 	loads := make([]pick.Load, len(s.endpoints))
-	perSecond := s.cold()
+	cold := s.cold()
 	heard := slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.agent && now.Sub(e.heard) <= agentSilence })
 	for i, e := range s.endpoints {
 		age := time.Duration(-1)
@@ -297,7 +325,7 @@
 			// A host that stands still takes its agent along, and what is sent there
 			// arrives when nobody waits for it any more.
 			Closed:  e.draining || s.evacuated[e.spec.DataCentre()] || (e.closed && !silent) || (silent && heard),
-			Spent:   perSecond > 0 && now.Before(e.coldUntil) && e.isSpent(now, perSecond, s.draw),
+			Spent:   cold.Bears > 0 && now.Before(e.coldUntil) && e.isSpent(now, cold, s.draw),
 			Shunned: e.shunned,
 			Tried:   tried[e.spec.ID()],
 		}
@@ -308,11 +336,11 @@
 // isSpent reports whether a cold endpoint has had what this entry may send it. Of a
 // large fleet each entry sends one request in several seconds, and begins at a
 // random moment of these, so that they don't all begin together.
-func (e *endpoint) isSpent(now time.Time, perSecond float64, draw func(time.Duration) time.Duration) bool {
-	if perSecond >= 1 {
-		return e.sentWithin(now, time.Second)+1 > perSecond
+func (e *endpoint) isSpent(now time.Time, cold Cold, draw func(time.Duration) time.Duration) bool {
+	if share := cold.share(); share >= 1 {
+		return e.sentWithin(now, time.Second)+1 > share
 	}
-	period := time.Duration(coldMargin * float64(time.Second) / perSecond)
+	period := cold.period()
 	if e.coldTurn.IsZero() {
 		e.coldTurn = now.Add(draw(period))
 	}
--- a/pkg/seat/service_test.go
+++ b/pkg/seat/service_test.go
@@ -25,7 +25,7 @@
 			start := time.Unix(1000, 0)
 			for now := start; now.Sub(start) < 6*time.Second; now = now.Add(5 * time.Millisecond) {
 				for i := range cold {
-					if !cold[i].isSpent(now, bears/float64(members), rand.N[time.Duration]) {
+					if !cold[i].isSpent(now, Cold{Bears: bears, Most: bound, Entries: members}, rand.N[time.Duration]) {
 						cold[i].sent = append(cold[i].sent, now)
 						sent = append(sent, now)
 					}
