--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -253,11 +253,8 @@
 // update tells a service what a picture says of it.
 func update(s *seat.Service, picture *belief.Picture) {
 	t := picture.Table()
-	state := seat.State{Endpoints: picture.Endpoints(s.Name()), Evacuated: picture.Evacuated, Revision: picture.Revision()}
-	if t != nil && t.Service(s.Name()) != nil && t.Service(s.Name()).Engine() != nil {
-		state.Engine, state.Pause = true, t.ShortestPause(s.Name())
-	}
-	s.Update(state)
+	engine := t != nil && t.Service(s.Name()) != nil && t.Service(s.Name()).Engine() != nil
+	s.Update(picture.Endpoints(s.Name()), engine, picture.Evacuated, picture.Revision())
 }
 
 func (e *Entry) allServices() []*seat.Service {
--- a/internal/edge/guard_test.go
+++ b/internal/edge/guard_test.go
@@ -27,7 +27,7 @@
 			ID: fmt.Sprint(i), Service: "model", Address: netip.AddrPortFrom(hostOf(i), 80), DataCentre: "here", Slots: slots,
 		}))
 	}
-	s.Update(seat.State{Endpoints: specs, Engine: true, Evacuated: func(string) bool { return false }, Revision: 1})
+	s.Update(specs, true, func(string) bool { return false }, 1)
 	return s
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -275,7 +275,6 @@
 	return seat.Report{
 		Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Pace: load.GetPace(),
 		Opens: load.GetOpen() && load.GetReachable(), AgentsKnown: load.GetAgentsKnown(),
-		Pass: time.Duration(load.GetPassMs()) * time.Millisecond,
 	}
 }
 
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -67,7 +67,6 @@
 	expertsMap  uint64
 	expertsIn   uint64
 	seq         uint64
-	passes      passClock
 	orders      orders
 	plans       plans
 
@@ -195,7 +194,6 @@
 	now := time.Now()
 	if err == nil {
 		a.state, a.answered = state, now
-		a.passes.see(state, now)
 	}
 	unreachable := now.Sub(a.answered) > unreachableAfter
 	if unreachable == a.unreachable || ctx.Err() != nil {
@@ -209,43 +207,6 @@
 	}
 }
 
-// passesWindow is the span over which passes are timed: about four of them.
-const passesWindow = 400 * time.Millisecond
-
-// passClock times the passes of a rank's group.
-type passClock struct {
-	seen []passSeen
-}
-
-// passSeen is a pass that was the last one begun at a moment.
-type passSeen struct {
-	epoch, pass uint64
-	at          time.Time
-}
-
-// see takes note of a rank's state.
-func (p *passClock) see(state platform.RankState, now time.Time) {
-	if last := len(p.seen) - 1; last >= 0 && (p.seen[last].epoch != state.Epoch || p.seen[last].pass > state.Pass) {
-		p.seen = nil
-	}
-	p.seen = append(p.seen, passSeen{epoch: state.Epoch, pass: state.Pass, at: now})
-	for now.Sub(p.seen[0].at) > passesWindow {
-		p.seen = p.seen[1:]
-	}
-}
-
-// length returns how long a pass has taken lately, zero if that isn't known.
-func (p *passClock) length() time.Duration {
-	if len(p.seen) == 0 {
-		return 0
-	}
-	first, last := p.seen[0], p.seen[len(p.seen)-1]
-	if last.pass == first.pass || last.at.Sub(first.at) < passesWindow/2 {
-		return 0
-	}
-	return last.at.Sub(first.at) / time.Duration(last.pass-first.pass)
-}
-
 // counter turns counts since the rank's start into counts since the last look.
 type counter struct {
 	start int64
@@ -331,7 +292,6 @@
 		Reachable: !a.unreachable,
 
 		AgentsKnown: a.agentsKnown,
-		PassMs:      uint32(a.passes.length().Milliseconds()),
 	}
 	a.mu.Unlock()
 	a.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Load{Load: load}}, entries...)
--- a/pkg/pick/pick.go
+++ b/pkg/pick/pick.go
@@ -42,9 +42,6 @@
 	Failures float64
 	// Pace over 1 means that the endpoint is slower than its kind.
 	Pace float64
-	// Limit is how many requests may be there beside what the slots allow, zero for no
-	// limit.
-	Limit float64
 	// Local endpoints stand in the entry's data centre.
 	Local bool
 	// Closed endpoints take nothing: they leave, are evacuated, or can't run.
@@ -162,9 +159,6 @@
 	if l.Pace > 1 {
 		room = max(1, room/l.Pace)
 	}
-	if l.Limit > 0 {
-		room = min(room, l.Limit)
-	}
 	return float64(busy)+l.Expected >= room
 }
 
--- a/pkg/seat/service.go
+++ b/pkg/seat/service.go
@@ -60,14 +60,6 @@
 	// back after it: all of them at once would fill every slot with prompts to read,
 	// and whoever comes after that is lost.
 	outageSpread = 1500 * time.Millisecond
-	// passShare is the share of the pause that streams aim at which a pass may take on
-	// the average: single ones take longer, by the prompts that are read in them.
-	passShare = 0.85
-	// leastRoom is the share of its slots that a replica has room for however long
-	// passes take: with fewer requests they get little shorter.
-	leastRoom = 0.5
-	// roomPerSecond is by how many requests at each replica the room grows in a second.
-	roomPerSecond = 2
 	// leastBack is the least time after which a refused caller may come back.
 	leastBack = 300 * time.Millisecond
 )
@@ -100,12 +92,10 @@
 	agentsKnown uint32
 	closed      bool
 	pace        float64
-	// pass is how long a pass of its group takes, zero if that is not known.
-	pass      time.Duration
-	failures  float64
-	failedAt  time.Time
-	shunned   bool
-	coldUntil time.Time
+	failures    float64
+	failedAt    time.Time
+	shunned     bool
+	coldUntil   time.Time
 	// coldTurn is from when on this entry may send to the endpoint while it is cold.
 	coldTurn time.Time
 	sent     []time.Time
@@ -138,8 +128,6 @@
 	Pace float64
 	// Opens says that the endpoint can be reached and takes requests.
 	Opens bool
-	// Pass is how long a pass of the endpoint's group takes, zero if that isn't known.
-	Pass time.Duration
 	// AgentsKnown is the fingerprint of the agents that the agent knows, 0 for none.
 	AgentsKnown uint32
 }
@@ -154,13 +142,9 @@
 	others func() int
 	now    func() time.Time
 
-	mu     sync.Mutex
-	random *rand.Rand
-	engine bool
-	pause  time.Duration
-	// room is how many requests each endpoint was last thought to bear.
-	room      float64
-	roomAt    time.Time
+	mu        sync.Mutex
+	random    *rand.Rand
+	engine    bool
 	endpoints []*endpoint
 	evacuated map[string]bool
 	waiting   []*Waiter
@@ -265,25 +249,14 @@
 	return r.perSecond * math.Exp2(-now.Sub(r.last).Seconds()/rateHalfLife.Seconds())
 }
 
-// State is what is believed of a service as of a revision of the store.
-type State struct {
-	Endpoints []*table.Endpoint
-	// Engine says that the endpoints are model replicas.
-	Engine bool
-	// Pause is the longest pause between events that is on time, zero for no bound.
-	Pause time.Duration
-	// Evacuated tells from which data centres nothing may be used.
-	Evacuated func(dataCentre string) bool
-	Revision  uint64
-}
-
-// Update takes in what is believed of the service.
-func (s *Service) Update(state State) {
+// Update takes in the service's endpoints as of a revision of the store: whether they
+// are model replicas, and from which data centres nothing may be used.
+func (s *Service) Update(specs []*table.Endpoint, engine bool, evacuated func(dataCentre string) bool, revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	kept := make([]*endpoint, 0, len(state.Endpoints))
-	for _, spec := range state.Endpoints {
+	kept := make([]*endpoint, 0, len(specs))
+	for _, spec := range specs {
 		e := s.find(spec.ID())
 		if e == nil || e.spec.Incarnation() != spec.Incarnation() {
 			e = &endpoint{slots: spec.Slots(), pace: 1}
@@ -297,7 +270,7 @@
 			event.EndpointCold.Log(s.logger, zap.String("endpoint", spec.ID()), zap.Duration("cold_for", spec.ColdFor()))
 		}
 		if spec.Draining() && !e.draining {
-			event.EndpointLeaving.Log(s.logger, zap.String("endpoint", spec.ID()), zap.Uint64("revision", state.Revision))
+			event.EndpointLeaving.Log(s.logger, zap.String("endpoint", spec.ID()), zap.Uint64("revision", revision))
 		}
 		e.spec, e.draining = spec, spec.Draining()
 		kept = append(kept, e)
@@ -305,17 +278,17 @@
 	for _, e := range s.endpoints {
 		if !slices.Contains(kept, e) {
 			event.EndpointRemoved.Log(s.logger, zap.String("service", s.name), zap.String("endpoint", e.spec.ID()),
-				zap.Uint64("revision", state.Revision))
+				zap.Uint64("revision", revision))
 		}
 	}
 	s.endpoints = kept
 	s.evacuated = make(map[string]bool)
 	for _, e := range kept {
-		if state.Evacuated(e.spec.DataCentre()) {
+		if evacuated(e.spec.DataCentre()) {
 			s.evacuated[e.spec.DataCentre()] = true
 		}
 	}
-	s.engine, s.pause = state.Engine, state.Pause
+	s.engine = engine
 	s.serveWaiting(now)
 }
 
@@ -360,40 +333,6 @@
 	return loads
 }
 
-// paceLimit returns how many requests may be at a model replica for the passes of its
-// group to stay short enough for events to be on time, zero for no limit: each one
-// more makes every event of all others later. It grows slowly, since passes show only
-// later how long they take with more requests. The caller holds the lock.
-func (s *Service) paceLimit(loads []pick.Load, now time.Time) float64 {
-	if !s.engine || s.pause == 0 {
-		return 0
-	}
-	var heard, busy, slots, pass, known float64
-	for i, e := range s.endpoints {
-		if load := &loads[i]; !load.Closed && e.agent && load.Age >= 0 && load.Age <= agentSilence {
-			heard++
-			slots += float64(e.slots)
-			busy += float64(load.Busy())
-			if e.pass > 0 {
-				known++
-				pass += e.pass.Seconds()
-			}
-		}
-	}
-	if heard == 0 {
-		return 0
-	}
-	least := leastRoom * slots / heard
-	if known == 0 {
-		s.room, s.roomAt = least, now
-		return least
-	}
-	bears := busy / heard * passShare * s.pause.Seconds() / (pass / known)
-	grown := s.room + roomPerSecond*now.Sub(s.roomAt).Seconds()
-	s.room, s.roomAt = max(least, min(bears+1, grown)), now
-	return s.room
-}
-
 // isSpent reports whether a cold endpoint has had what this entry may send it. Of a
 // large fleet each entry sends one request in several seconds, and begins at a
 // random moment of these, so that they don't all begin together.
@@ -431,11 +370,6 @@
 		return nil, pick.None
 	}
 	loads := s.loads(t.Tried, now)
-	if limit := s.paceLimit(loads, now); limit > 0 && !t.Resuming {
-		for i := range loads {
-			loads[i].Limit = limit
-		}
-	}
 	pick.Foresee(loads, extra, s.others(), s.sent.at(now))
 	at, verdict := pick.Choose(loads, extra, s.random.Uint64())
 	if verdict != pick.Chosen {
@@ -574,7 +508,7 @@
 			s.refusedAt = time.Time{}
 		}
 		e.closed = !report.Opens
-		e.pace, e.pass = max(1, report.Pace), report.Pass
+		e.pace = max(1, report.Pace)
 		s.serveWaiting(now)
 		return true
 	}
