internal/edge, internal/rank: agents learn of each other and of the next map at once

An entry that started spent its round of asking agents before it knew any (1 s); agents that started anew got the next map as changes of one that they didn't know, twice, before the whole (0.5 s). Change: agents that weren't heard are asked at each tick, and told of the others by about four entries a tick; reports say whether the agent knows the map in use, and who doesn't gets the whole new one at once.

--- a/internal/edge/guard_test.go
+++ b/internal/edge/guard_test.go
@@ -31,9 +31,8 @@
 	return s
 }
 
-// TestSilenceAloneEndsNoAnswer has a stream at an endpoint that fell silent with
-// its agent. It is given up only if it may go on elsewhere.
-func TestSilenceAloneEndsNoAnswer(t *testing.T) {
+// newEntry returns an entry that isn't running.
+func newEntry(t *testing.T) *Entry {
 	settings, err := prefs.ParseEdge("entry.jsonc", []byte(`{"name": "e", "data_centre": "here", "ip": "127.0.0.1", "peer_port": 7000,
 		"admin_listen": "127.0.0.1:7001", "listen": "127.0.0.1:7002", "ready_listen": "127.0.0.1:7003",
 		"directory_listen": "127.0.0.1:7004", "store": "127.0.0.1:7005", "stop_bound_s": 3, "retry_ratio": 0.2, "retry_extra": 50,
@@ -41,6 +40,13 @@
 	require.NoError(t, err)
 	entry, err := New(settings, zap.NewNop())
 	require.NoError(t, err)
+	return entry
+}
+
+// TestSilenceAloneEndsNoAnswer has a stream at an endpoint that fell silent with
+// its agent. It is given up only if it may go on elsewhere.
+func TestSilenceAloneEndsNoAnswer(t *testing.T) {
+	entry := newEntry(t)
 	testCases := []struct {
 		name     string
 		sends    int
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -26,6 +26,9 @@
 	helloFanout = 8
 	// subscribePeriod is how often agents are asked to go on reporting.
 	subscribePeriod = time.Second
+	// namesPerAgent is how many entries tell an agent of the others at a time, while it
+	// doesn't know them; if all did, a large fleet would flood agents that start.
+	namesPerAgent = 4
 	// fetchTimeout bounds the wait for a peer's picture.
 	fetchTimeout = time.Second
 	// fetchAfter is how long a peer's newer revision may be missing before it is
@@ -127,9 +130,10 @@
 	var subscribed time.Time
 	for ctx.Err() == nil {
 		p.hello()
-		if now := time.Now(); now.Sub(subscribed) >= subscribePeriod {
+		now := time.Now()
+		due := now.Sub(subscribed) >= subscribePeriod
+		if p.subscribe(due) && due {
 			subscribed = now
-			p.subscribe()
 		}
 		for next := time.Now().Add(helloPeriod); ctx.Err() == nil; {
 			p.catchUp(ctx)
@@ -224,12 +228,16 @@
 }
 
 // subscribe asks the agents of model replicas for reports.
-func (p *peers) subscribe() {
+//
+// Agents that weren't heard lately are asked at each call, the others if a round is
+// due. It reports whether it knows whom to ask.
+func (p *peers) subscribe(due bool) bool {
 	e := p.entry
 	picture := e.picture.Load()
 	if picture.Table() == nil {
-		return
+		return false
 	}
+	names := func() bool { return rand.Float64()*float64(len(picture.Members())) < namesPerAgent }
 	port := uint16(e.settings.Load().PeerPort())
 	picture.Table().Services(func(service *table.Service) {
 		engine := service.Engine()
@@ -245,30 +253,35 @@
 			Spare:   uint32(engine.Spare),
 			PauseMs: uint32(picture.Table().ShortestPause(service.Name()).Milliseconds()),
 		}
-		informed, uninformed := informed(agents, e.service(service.Name()).AgentsKnown())
-		e.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Subscribe{Subscribe: asked}}, informed...)
-		if len(uninformed) == 0 {
+		short, full := toAsk(agents, e.service(service.Name()).AgentsKnown(), due, names)
+		e.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Subscribe{Subscribe: asked}}, short...)
+		if len(full) == 0 {
 			return
 		}
 		for _, agent := range agents {
 			asked.Agents = append(asked.Agents, agent.String())
 		}
-		e.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Subscribe{Subscribe: asked}}, uninformed...)
+		e.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Subscribe{Subscribe: asked}}, full...)
 	})
+	return true
 }
 
-// informed splits the agents into those that know of all of them, by what each host's
-// agent has shown to know, and the others.
-func informed(agents []netip.AddrPort, known map[netip.Addr]uint32) (informed, uninformed []netip.AddrPort) {
+// toAsk returns the agents to ask for reports, and those of them that are told of all
+// agents too. Known holds by host the fingerprint of the agents that an agent showed
+// lately to know; those that know others, or weren't heard, are told if names says
+// so.
+func toAsk(agents []netip.AddrPort, known map[netip.Addr]uint32, due bool, names func() bool) (short, full []netip.AddrPort) {
 	current := dgram.Fingerprint(agents)
 	for _, agent := range agents {
-		if known[agent.Addr()] == current {
-			informed = append(informed, agent)
-		} else {
-			uninformed = append(uninformed, agent)
+		shown, heard := known[agent.Addr()]
+		switch {
+		case shown != current && names():
+			full = append(full, agent)
+		case due || !heard:
+			short = append(short, agent)
 		}
 	}
-	return informed, uninformed
+	return short, full
 }
 
 func reportOf(load *wirepb.Load) seat.Report {
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -19,9 +19,13 @@
 	for i := range endpoints {
 		agents = append(agents, netip.AddrPortFrom(hostOf(i), 7900))
 	}
-	knowing, others := informed(agents, s.AgentsKnown())
-	require.Empty(t, knowing, "none was heard")
-	require.Equal(t, agents, others)
+	always, never := func() bool { return true }, func() bool { return false }
+	short, full := toAsk(agents, s.AgentsKnown(), false, always)
+	require.Empty(t, short)
+	require.Equal(t, agents, full, "none was heard")
+	short, full = toAsk(agents, s.AgentsKnown(), false, never)
+	require.Equal(t, agents, short, "they are asked at once, and told by others")
+	require.Empty(t, full)
 
 	for i, agent := range agents {
 		load := &wirepb.Load{Open: true, Reachable: true, AgentsKnown: dgram.Fingerprint(agents)}
@@ -30,10 +34,21 @@
 		}
 		require.True(t, s.Heard(agent.Addr(), reportOf(load)))
 	}
-	knowing, others = informed(agents, s.AgentsKnown())
-	require.Equal(t, []netip.AddrPort{agents[0], agents[2], agents[3]}, knowing)
-	require.Equal(t, []netip.AddrPort{agents[1]}, others)
+	short, full = toAsk(agents, s.AgentsKnown(), false, always)
+	require.Empty(t, short, "no round is due")
+	require.Equal(t, []netip.AddrPort{agents[1]}, full)
+	short, full = toAsk(agents, s.AgentsKnown(), true, always)
+	require.Equal(t, []netip.AddrPort{agents[0], agents[2], agents[3]}, short)
+	require.Equal(t, []netip.AddrPort{agents[1]}, full)
 
-	knowing, _ = informed(append(agents, netip.MustParseAddrPort("10.0.0.9:7900")), s.AgentsKnown())
-	require.Empty(t, knowing, "an agent has joined")
+	joined := append(agents, netip.MustParseAddrPort("10.0.0.9:7900"))
+	_, full = toAsk(joined, s.AgentsKnown(), false, always)
+	require.Equal(t, joined, full, "an agent has joined")
+}
+
+// TestAgentsAreAskedAsSoonAsTheyAreKnown starts an entry that knows no configuration
+// yet: its round isn't spent on that.
+func TestAgentsAreAskedAsSoonAsTheyAreKnown(t *testing.T) {
+	entry := newEntry(t)
+	require.False(t, entry.peers.subscribe(true))
 }
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -260,6 +260,7 @@
 	a.mu.Lock()
 	a.seq++
 	message.Seq = a.seq
+	message.MapKnown = state.Map == 0 || a.plans.find(state.Map) != nil
 	if a.expertsMap == state.Map && a.expertsIn == state.Epoch {
 		message.Experts = encodeExperts(a.experts)
 	}
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -69,7 +69,9 @@
 	views   []group.View
 	experts [][][]int
 	// paces are those of the ranks; over 1 they are slow.
-	paces   []float64
+	paces []float64
+	// known are the maps of which the agents of the ranks know all lists.
+	known   []knownMap
 	loads   [][]float64
 	counted time.Time
 	tokens  float64
@@ -94,6 +96,15 @@
 	timedAt   time.Time
 }
 
+// knownMap is the map in use as an agent knows it.
+type knownMap struct {
+	version uint64
+	ok      bool
+}
+
+// is reports whether the agent knows all lists of a version.
+func (k knownMap) is(version uint64) bool { return k.ok && k.version == version }
+
 // sentOrder is an order as it was last sent to a rank.
 type sentOrder struct {
 	order group.Order
@@ -222,7 +233,7 @@
 	l.leads = true
 	l.views = make([]group.View, size)
 	l.experts = make([][][]int, size)
-	l.paces = make([]float64, size)
+	l.paces, l.known = make([]float64, size), make([]knownMap, size)
 	l.sent = make(map[int]sentOrder)
 	l.seen = make(map[int]uint64)
 	l.starts = make(map[int]int64)
@@ -269,7 +280,7 @@
 		Map: report.GetExpertMap(), Prepared: report.GetPrepared(), Armed: report.GetArmed(), ArmedPass: report.GetArmedPass(),
 		Held: report.GetHeld(), HeldPass: report.GetHeldPass(),
 	}
-	l.paces[rank] = report.GetPace()
+	l.paces[rank], l.known[rank] = report.GetPace(), knownMap{version: report.GetExpertMap(), ok: report.GetMapKnown()}
 	if lists := decodeExperts(report.GetExperts()); len(lists) == shape.sets {
 		l.experts[rank] = lists
 	} else {
@@ -346,6 +357,13 @@
 	return experts
 }
 
+// getsWhole reports whether a rank's agent is told the whole new map: if it hasn't
+// shown that it knows the map in use, or hasn't taken the changes several times. The
+// caller holds the lock.
+func (l *lead) getsWhole(rank, times int) bool {
+	return l.base == nil || times >= wholeAfter || !l.known[rank].is(l.baseVersion)
+}
+
 // send gives orders to the agents of the ranks, not more often than they need.
 // The caller holds the lock.
 func (l *lead) send(orders []group.Order, now time.Time) {
@@ -373,8 +391,7 @@
 			if l.plan == nil {
 				continue
 			}
-			// Whoever doesn't know the map in use gets the whole new one next time.
-			if last.times >= wholeAfter || l.base == nil {
+			if l.getsWhole(order.Rank, last.times) {
 				if experts == nil {
 					experts = encodePlan(l.plan)
 				}
--- a/internal/rank/plan_test.go
+++ b/internal/rank/plan_test.go
@@ -42,3 +42,27 @@
 		})
 	}
 }
+
+// TestAgentsThatDoNotKnowTheMapInUseGetTheWholeNewOne has agents that started anew, as
+// after a kill of all processes, beside others that know an older map.
+func TestAgentsThatDoNotKnowTheMapInUseGetTheWholeNewOne(t *testing.T) {
+	testCases := []struct {
+		name  string
+		known knownMap
+		base  [][][]int
+		times int
+		want  bool
+	}{
+		{name: "it knows the map in use", known: knownMap{version: 7, ok: true}, base: [][][]int{{{0}}}},
+		{name: "it has started anew", known: knownMap{version: 7}, base: [][][]int{{{0}}}, want: true},
+		{name: "it has told of an older map", known: knownMap{version: 6, ok: true}, base: [][][]int{{{0}}}, want: true},
+		{name: "changes were lost", known: knownMap{version: 7, ok: true}, base: [][][]int{{{0}}}, times: wholeAfter, want: true},
+		{name: "the leader can't tell the changes", known: knownMap{version: 7, ok: true}, want: true},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			l := &lead{base: tc.base, baseVersion: 7, known: []knownMap{{}, tc.known}}
+			require.Equal(t, tc.want, l.getsWhole(1, tc.times))
+		})
+	}
+}
