pkg/seat: entries that aren't members yet spare cold replicas

Change: reports tell how many entries an agent reports to; the larger of members and these counts. Until an agent is heard, one request a second to each cold replica.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -288,6 +288,7 @@
 	return seat.Report{
 		Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Pace: load.GetPace(),
 		Opens: load.GetOpen() && load.GetReachable(), AgentsKnown: load.GetAgentsKnown(),
+		Entries: int(load.GetEntries()),
 	}
 }
 
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -293,6 +293,7 @@
 		Reachable: !a.unreachable,
 
 		AgentsKnown: a.agentsKnown,
+		Entries:     uint32(len(entries)),
 	}
 	a.mu.Unlock()
 	a.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Load{Load: load}}, entries...)
--- a/pkg/seat/service.go
+++ b/pkg/seat/service.go
@@ -104,12 +104,14 @@
 	agent    bool
 	// agentsKnown is the fingerprint of the agents that its agent knows.
 	agentsKnown uint32
-	closed      bool
-	pace        float64
-	failures    float64
-	failedAt    time.Time
-	shunned     bool
-	coldUntil   time.Time
+	// entries is how many entries its agent reports to.
+	entries   int
+	closed    bool
+	pace      float64
+	failures  float64
+	failedAt  time.Time
+	shunned   bool
+	coldUntil time.Time
 	// coldTurn is from when on this entry may send to the endpoint while it is cold.
 	coldTurn time.Time
 	sent     []time.Time
@@ -144,6 +146,8 @@
 	Opens bool
 	// AgentsKnown is the fingerprint of the agents that the agent knows, 0 for none.
 	AgentsKnown uint32
+	// Entries is how many entries the agent reports to.
+	Entries int
 }
 
 // Service holds the endpoints of a service and the requests that wait for them, as
@@ -323,7 +327,7 @@
 // loads returns what the choice needs to know. The caller holds the lock.
 func (s *Service) loads(tried map[string]bool, now time.Time) []pick.Load {
 	loads := make([]pick.Load, len(s.endpoints))
-	cold := s.cold()
+	cold := s.coldNow(now)
 	heard := slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.agent && now.Sub(e.heard) <= agentSilence })
 	for i, e := range s.endpoints {
 		age := time.Duration(-1)
@@ -351,6 +355,23 @@
 	return loads
 }
 
+// coldNow returns what a cold endpoint may be sent, by as many entries as its agents
+// report to if that is more than are members: after a loss of power of all hosts
+// entries send before any is a member again. Until an agent is heard, an entry sends
+// one request a second to each cold model replica. The caller holds the lock.
+func (s *Service) coldNow(now time.Time) Cold {
+	cold, heard := s.cold(), false
+	for _, e := range s.endpoints {
+		if e.agent && now.Sub(e.heard) <= agentSilence {
+			cold.Entries, heard = max(cold.Entries, e.entries), true
+		}
+	}
+	if s.engine && !heard {
+		cold.Entries = max(cold.Entries, int(cold.Bears))
+	}
+	return cold
+}
+
 // isSpent reports whether a cold endpoint has had what this entry may send it. Of a
 // large fleet each entry sends one request in several seconds, and begins at a
 // random moment of these, so that they don't all begin together.
@@ -528,7 +549,7 @@
 			event.AgentHeard.Log(s.logger, zap.String("endpoint", e.spec.ID()))
 		}
 		e.reported, e.mineThen, e.heard = report.Running+report.Waiting, e.mine, now
-		e.agentsKnown = report.AgentsKnown
+		e.agentsKnown, e.entries = report.AgentsKnown, report.Entries
 		if report.Opens && e.closed {
 			s.refusedAt = time.Time{}
 		}
--- a/pkg/seat/service_test.go
+++ b/pkg/seat/service_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/lentilstand/lentilstand/pkg/table"
 )
 
 // fleetSizes are the entries of the sites, grown sites and the size to design for.
@@ -56,3 +59,36 @@
 	now = now.Add(time.Millisecond)
 	require.Empty(t, s.AgentsKnown())
 }
+
+// TestEntriesThatAreNoMembersYetSpareColdEndpoints has entries start together with all
+// endpoints and serve a crowd that waits at each of them, while none knows of another
+// but by the reports of agents.
+func TestEntriesThatAreNoMembersYetSpareColdEndpoints(t *testing.T) {
+	const entries, endpoints, slots, bears = 34, 12, 30, 22.0
+	most := bears*1.5 + 5
+	now := time.Unix(1000, 0)
+	sent := make(map[string]int)
+	for range entries {
+		s := New("model", "here", zap.NewNop(), WithClock(func() time.Time { return now }),
+			WithCold(func() Cold { return Cold{Bears: bears, Most: most, Entries: 1} }))
+		var specs []*table.Endpoint
+		for i := range endpoints {
+			specs = append(specs, table.NewEndpoint(table.EndpointSpec{
+				ID: fmt.Sprint(i), Service: "model", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+				Slots: slots, ColdFor: 3 * time.Second,
+			}))
+		}
+		s.Update(specs, true, func(string) bool { return false }, 1)
+		for i := range endpoints {
+			s.Heard(specs[i].Address().Addr(), Report{Opens: true, Entries: entries})
+		}
+		for range 100 {
+			if given, w, err := s.Ask(Ticket{}); err == nil && w == nil {
+				sent[given.Endpoint().ID()]++
+			}
+		}
+	}
+	for id, count := range sent {
+		require.LessOrEqual(t, float64(count), most, id)
+	}
+}
