pkg/seat: the rate at cold endpoints by Chernoff's bound

Change: the largest rate for which more than the most in a second has a chance of 10^-8, by Chernoff's bound; found once a choice.

--- a/pkg/seat/service.go
+++ b/pkg/seat/service.go
@@ -23,10 +23,10 @@
 	engineExtra = 2
 	// plainExtra is the same for endpoints of plain services.
 	plainExtra = 4
-	// coldSpread is by how many standard deviations what a cold endpoint gets in a second
-	// stays below the most that it may get, where entries send at random moments: five
-	// are exceeded once in some million seconds.
-	coldSpread = 5
+	// coldChance bounds how likely a cold endpoint is to get more in a second than it may
+	// at most, where entries send at random moments, as a power of e: one in a hundred
+	// million.
+	coldChance = 18.4
 	// resumeExtra is how many streams that go on from another endpoint may stand at
 	// one beyond that: their callers have a part of the answer and leave after two
 	// seconds of silence, and they go first there.
@@ -188,26 +188,48 @@
 	Most float64
 	// Entries is how many entries may send to it.
 	Entries int
+
+	// period is the time between two requests of an entry whose share is below one.
+	period time.Duration
 }
 
 // share returns how many requests each entry may send in a second.
 func (c Cold) share() float64 { return c.Bears / float64(max(1, c.Entries)) }
 
-// period returns the time between two requests of an entry whose share is below one:
-// all entries together send what the endpoint bears, or less if that many random
-// moments could meet in one second.
-func (c Cold) period() time.Duration {
+// planned returns the same with the period: all entries together send what the
+// endpoint bears, or less if that many random moments could meet in one second.
+func (c Cold) planned() Cold {
+	if c.Bears <= 0 || c.share() >= 1 {
+		return c
+	}
 	rate := c.Bears
-	if float64(c.Entries) > c.Most {
-		// The largest rate for which rate + coldSpread·√rate is Most.
-		root := (math.Sqrt(coldSpread*coldSpread+4*max(0, c.Most)) - coldSpread) / 2
-		rate = min(rate, root*root)
+	if float64(c.Entries) > c.Most && !c.isSafe(rate) {
+		low, high := 0.0, rate
+		for high-low > coldStep {
+			if middle := (low + high) / 2; c.isSafe(middle) {
+				low = middle
+			} else {
+				high = middle
+			}
+		}
+		rate = max(low, coldStep)
 	}
-	return time.Duration(float64(c.Entries) / max(rate, leastCold) * float64(time.Second))
+	c.period = time.Duration(float64(c.Entries) / rate * float64(time.Second))
+	return c
 }
 
-// leastCold keeps a cold endpoint in use, in requests a second of all entries.
-const leastCold = 0.1
+// coldStep is how exactly the rate of a large fleet is found, and its least, in
+// requests a second of all entries.
+const coldStep = 0.1
+
+// isSafe reports whether entries that each send at a random moment, rate of them in a
+// second, exceed the most so seldom as coldChance says: Chernoff's bound.
+func (c Cold) isSafe(rate float64) bool {
+	entries := float64(c.Entries)
+	most, mean := c.Most/entries, rate/entries
+	divergence := most*math.Log(most/mean) + (1-most)*math.Log((1-most)/(1-mean))
+	return entries*divergence >= coldChance
+}
 
 // WithCold sets what a cold endpoint of the service may be sent.
 func WithCold(cold func() Cold) Option {
@@ -369,7 +391,7 @@
 	if s.engine && !heard {
 		cold.Entries = max(cold.Entries, int(cold.Bears))
 	}
-	return cold
+	return cold.planned()
 }
 
 // isSpent reports whether a cold endpoint has had what this entry may send it. Of a
@@ -379,7 +401,7 @@
 	if share := cold.share(); share >= 1 {
 		return e.sentWithin(now, time.Second)+1 > share
 	}
-	period := cold.period()
+	period := cold.period
 	if e.coldTurn.IsZero() {
 		e.coldTurn = now.Add(draw(period))
 	}
--- a/pkg/seat/service_test.go
+++ b/pkg/seat/service_test.go
@@ -24,12 +24,13 @@
 		for _, members := range fleetSizes {
 			t.Run(fmt.Sprintf("%v/%d", bears, members), func(t *testing.T) {
 				bound := bears*1.5 + 5
+				allowed := Cold{Bears: bears, Most: bound, Entries: members}.planned()
 				cold := make([]endpoint, members)
 				var sent []time.Time
 				start := time.Unix(1000, 0)
 				for now := start; now.Sub(start) < 6*time.Second; now = now.Add(5 * time.Millisecond) {
 					for i := range cold {
-						if !cold[i].isSpent(now, Cold{Bears: bears, Most: bound, Entries: members}, rand.N[time.Duration]) {
+						if !cold[i].isSpent(now, allowed, rand.N[time.Duration]) {
 							cold[i].sent = append(cold[i].sent, now)
 							sent = append(sent, now)
 						}
