--- a/pkg/seat/service_test.go
+++ b/pkg/seat/service_test.go
@@ -95,3 +95,26 @@
 		require.LessOrEqual(t, float64(count), most, id)
 	}
 }
+
+// TestDecisionsRepeat has two services of the same clock and seed decide alike, as an
+// emulator needs.
+func TestDecisionsRepeat(t *testing.T) {
+	decide := func(seed uint64) (chosen []string) {
+		now := time.Unix(1000, 0)
+		s := New("model", "here", zap.NewNop(), WithClock(func() time.Time { return now }), WithRandom(rand.NewPCG(seed, 1)))
+		var specs []*table.Endpoint
+		for i := range 12 {
+			specs = append(specs, table.NewEndpoint(table.EndpointSpec{ID: fmt.Sprint(i), Service: "model", Slots: 8}))
+		}
+		s.Update(specs, true, func(string) bool { return false }, 1)
+		for range 60 {
+			now = now.Add(10 * time.Millisecond)
+			given, _, err := s.Ask(Ticket{})
+			require.NoError(t, err)
+			chosen = append(chosen, given.Endpoint().ID())
+		}
+		return chosen
+	}
+	require.Equal(t, decide(1), decide(1))
+	require.NotEqual(t, decide(1), decide(2))
+}
