pkg/seat, internal/edge, internal/rank: one copy of each check, nothing worked out that isn't used

Change: isHeard, isSilent and isCold of an endpoint, describedBy, cold.go and endpoint.go; a comment stands at its function again (give). No behaviour changes. Ruled out: one accessor for the locked fields that the list of pairs names (internal/soak, internal/entry, internal/stand): their types differ, only the shape is the same.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -223,12 +223,12 @@
 // whichever of them are counted as members.
 func (e *Entry) cold(name string) seat.Cold {
 	picture := e.picture.Load()
-	t := picture.Table()
-	if t == nil || t.Service(name) == nil || t.Service(name).ColdPerSecond() <= 0 {
+	s := describedBy(picture, name)
+	if s == nil || s.ColdPerSecond() <= 0 {
 		return seat.Cold{}
 	}
 	factor, extra := e.settings.Load().ColdBound()
-	bears := t.Service(name).ColdPerSecond()
+	bears := s.ColdPerSecond()
 	return seat.Cold{Bears: bears * min(1, factor), Most: bears*factor + extra, Entries: max(1, len(picture.Members()))}
 }
 
@@ -250,10 +250,19 @@
 	return r.call.LastEvent != "" || float64(r.call.Patience) < returningShare*float64(usual)
 }
 
+// describedBy returns a service of the picture's routing table, nil if that has none
+// of the name.
+func describedBy(picture *belief.Picture, name string) *table.Service {
+	if t := picture.Table(); t != nil {
+		return t.Service(name)
+	}
+	return nil
+}
+
 // update tells a service what a picture says of it.
 func update(s *seat.Service, picture *belief.Picture) {
-	t := picture.Table()
-	engine := t != nil && t.Service(s.Name()) != nil && t.Service(s.Name()).Engine() != nil
+	described := describedBy(picture, s.Name())
+	engine := described != nil && described.Engine() != nil
 	s.Update(picture.Endpoints(s.Name()), engine, picture.Evacuated, picture.Revision())
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -248,12 +248,15 @@
 		for _, endpoint := range picture.Endpoints(service.Name()) {
 			agents = append(agents, netip.AddrPortFrom(endpoint.Address().Addr(), port))
 		}
+		short, full := toAsk(agents, e.service(service.Name()).AgentsKnown(), due, names)
+		if len(short)+len(full) == 0 {
+			return
+		}
 		asked := &wirepb.Subscribe{
 			Sets: uint32(engine.Sets), Experts: uint32(engine.Experts), Places: uint32(engine.Places),
 			Spare:   uint32(engine.Spare),
 			PauseMs: uint32(picture.Table().ShortestPause(service.Name()).Milliseconds()),
 		}
-		short, full := toAsk(agents, e.service(service.Name()).AgentsKnown(), due, names)
 		e.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Subscribe{Subscribe: asked}}, short...)
 		if len(full) == 0 {
 			return
--- a/internal/rank/orders.go
+++ b/internal/rank/orders.go
@@ -143,7 +143,6 @@
 	}
 }
 
-// give gives an order to a rank, for Prepare with the map by set and rank.
 // giveHedged gives an order and, as long as no answer comes, gives it again. It
 // returns the first answer.
 func giveHedged(ctx context.Context, rank *platform.Rank, order *wirepb.RankOrder, plan [][][]int) error {
@@ -176,6 +175,7 @@
 	}
 }
 
+// give gives an order to a rank, for Prepare with the map by set and rank.
 func give(ctx context.Context, rank *platform.Rank, order *wirepb.RankOrder, plan [][][]int) error {
 	switch order.GetKind() {
 	case wirepb.RankOrder_KIND_PREPARE:
--- a/pkg/seat/service.go
+++ b/pkg/seat/service.go
@@ -23,10 +23,6 @@
 	engineExtra = 2
 	// plainExtra is the same for endpoints of plain services.
 	plainExtra = 4
-	// coldChance bounds how likely a cold endpoint is to get more in a second than it may
-	// at most, where entries send at random moments, as a power of e: one in a hundred
-	// million.
-	coldChance = 18.4
 	// resumeExtra is how many streams that go on from another endpoint may stand at
 	// one beyond that: their callers have a part of the answer and leave after two
 	// seconds of silence, and they go first there.
@@ -92,41 +88,6 @@
 	ErrLate = eris.New("the request would begin too late")
 )
 
-// endpoint is what the entry knows of one endpoint, under its service's lock.
-type endpoint struct {
-	spec     *table.Endpoint
-	draining bool
-	mine     int
-	reported int
-	mineThen int
-	slots    int
-	heard    time.Time
-	agent    bool
-	// agentsKnown is the fingerprint of the agents that its agent knows.
-	agentsKnown uint32
-	// entries is how many entries its agent reports to.
-	entries   int
-	closed    bool
-	pace      float64
-	failures  float64
-	failedAt  time.Time
-	shunned   bool
-	coldUntil time.Time
-	// coldTurn is from when on this entry may send to the endpoint while it is cold.
-	coldTurn time.Time
-	sent     []time.Time
-}
-
-// failing returns the decayed count of failures.
-func (e *endpoint) failing(now time.Time) float64 {
-	return e.failures * math.Exp2(-now.Sub(e.failedAt).Seconds()/failureHalfLife.Seconds())
-}
-
-// blame adds to the failures.
-func (e *endpoint) blame(weight float64, now time.Time) {
-	e.failures, e.failedAt = e.failing(now)+weight, now
-}
-
 // Seat is a request's place at an endpoint, as that was when it was given.
 type Seat struct {
 	endpoint *endpoint
@@ -180,57 +141,6 @@
 // Option changes what a Service is made of.
 type Option func(*Service)
 
-// Cold is what a cold endpoint may be sent in a second.
-type Cold struct {
-	// Bears is what it bears, zero for no bound.
-	Bears float64
-	// Most is what must never be exceeded.
-	Most float64
-	// Entries is how many entries may send to it.
-	Entries int
-
-	// period is the time between two requests of an entry whose share is below one.
-	period time.Duration
-}
-
-// share returns how many requests each entry may send in a second.
-func (c Cold) share() float64 { return c.Bears / float64(max(1, c.Entries)) }
-
-// planned returns the same with the period: all entries together send what the
-// endpoint bears, or less if that many random moments could meet in one second.
-func (c Cold) planned() Cold {
-	if c.Bears <= 0 || c.share() >= 1 {
-		return c
-	}
-	rate := c.Bears
-	if float64(c.Entries) > c.Most && !c.isSafe(rate) {
-		low, high := 0.0, rate
-		for high-low > coldStep {
-			if middle := (low + high) / 2; c.isSafe(middle) {
-				low = middle
-			} else {
-				high = middle
-			}
-		}
-		rate = max(low, coldStep)
-	}
-	c.period = time.Duration(float64(c.Entries) / rate * float64(time.Second))
-	return c
-}
-
-// coldStep is how exactly the rate of a large fleet is found, and its least, in
-// requests a second of all entries.
-const coldStep = 0.1
-
-// isSafe reports whether entries that each send at a random moment, rate of them in a
-// second, exceed the most so seldom as coldChance says: Chernoff's bound.
-func (c Cold) isSafe(rate float64) bool {
-	entries := float64(c.Entries)
-	most, mean := c.Most/entries, rate/entries
-	divergence := most*math.Log(most/mean) + (1-most)*math.Log((1-most)/(1-mean))
-	return entries*divergence >= coldChance
-}
-
 // WithCold sets what a cold endpoint of the service may be sent.
 func WithCold(cold func() Cold) Option {
 	return func(s *Service) { s.cold = cold }
@@ -349,14 +259,14 @@
 // loads returns what the choice needs to know. The caller holds the lock.
 func (s *Service) loads(tried map[string]bool, now time.Time) []pick.Load {
 	loads := make([]pick.Load, len(s.endpoints))
-	cold := s.coldNow(now)
-	heard := slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.agent && now.Sub(e.heard) <= agentSilence })
+	heard := slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.isHeard(now) })
+	cold := s.coldNow(now, heard)
 	for i, e := range s.endpoints {
 		age := time.Duration(-1)
 		if !e.heard.IsZero() {
 			age = now.Sub(e.heard)
 		}
-		silent := e.agent && age > agentSilence
+		silent := e.isSilent(now)
 		loads[i] = pick.Load{
 			Slots:    e.slots,
 			Mine:     e.mine,
@@ -369,7 +279,7 @@
 			// A host that stands still takes its agent along, and what is sent there
 			// arrives when nobody waits for it any more.
 			Closed:  e.draining || s.evacuated[e.spec.DataCentre()] || (e.closed && !silent) || (silent && heard),
-			Spent:   cold.Bears > 0 && now.Before(e.coldUntil) && e.isSpent(now, cold, s.draw),
+			Spent:   cold.Bears > 0 && e.isCold(now) && e.isSpent(now, cold, s.draw),
 			Shunned: e.shunned,
 			Tried:   tried[e.spec.ID()],
 		}
@@ -377,47 +287,6 @@
 	return loads
 }
 
-// coldNow returns what a cold endpoint may be sent, by as many entries as its agents
-// report to if that is more than are members: after a loss of power of all hosts
-// entries send before any is a member again. Until an agent is heard, an entry sends
-// one request a second to each cold model replica. The caller holds the lock.
-func (s *Service) coldNow(now time.Time) Cold {
-	cold, heard := s.cold(), false
-	for _, e := range s.endpoints {
-		if e.agent && now.Sub(e.heard) <= agentSilence {
-			cold.Entries, heard = max(cold.Entries, e.entries), true
-		}
-	}
-	if s.engine && !heard {
-		cold.Entries = max(cold.Entries, int(cold.Bears))
-	}
-	return cold.planned()
-}
-
-// isSpent reports whether a cold endpoint has had what this entry may send it. Of a
-// large fleet each entry sends one request in several seconds, and begins at a
-// random moment of these, so that they don't all begin together.
-func (e *endpoint) isSpent(now time.Time, cold Cold, draw func(time.Duration) time.Duration) bool {
-	if share := cold.share(); share >= 1 {
-		return e.sentWithin(now, time.Second)+1 > share
-	}
-	period := cold.period
-	if e.coldTurn.IsZero() {
-		e.coldTurn = now.Add(draw(period))
-	}
-	return now.Before(e.coldTurn) || e.sentWithin(now, period) > 0
-}
-
-// sentWithin returns how many requests were sent in the last span.
-func (e *endpoint) sentWithin(now time.Time, span time.Duration) float64 {
-	first := 0
-	for first < len(e.sent) && now.Sub(e.sent[first]) > span {
-		first++
-	}
-	e.sent = e.sent[first:]
-	return float64(len(e.sent))
-}
-
 // choose returns the endpoint that takes a request now. The caller holds the lock.
 func (s *Service) choose(t Ticket, now time.Time) (*endpoint, pick.Verdict) {
 	extra := plainExtra
@@ -465,7 +334,7 @@
 	}
 	e.mine++
 	s.sent.add(now)
-	if now.Before(e.coldUntil) {
+	if e.isCold(now) {
 		e.sent = append(e.sent, now)
 	}
 	return Seat{endpoint: e, spec: e.spec}, pick.Chosen
@@ -535,7 +404,7 @@
 			e.shunned = false
 			event.EndpointTrusted.Log(s.logger, zap.String("endpoint", e.spec.ID()), zap.String("reason", "its failures are old"))
 		}
-		if e.agent && now.Sub(e.heard) > agentSilence && e.closed {
+		if e.closed && e.isSilent(now) {
 			e.closed = false
 		}
 	}
@@ -590,7 +459,7 @@
 	defer s.mu.Unlock()
 	now, known := s.now(), make(map[netip.Addr]uint32)
 	for _, e := range s.endpoints {
-		if e.agent && now.Sub(e.heard) <= agentSilence {
+		if e.isHeard(now) {
 			known[e.spec.Address().Addr()] = e.agentsKnown
 		}
 	}
