internal/webio: a client that left before its request was read cancels it

Callers saw nothing; endpoints ran requests of callers who had closed their connection before the entry read the request, for example while it stood still.

Cause: the server began to watch the connection in another goroutine, and the handler could send the request to an endpoint before that goroutine ran. Ruled out: the parser; it hands over the request before it reads the end.

The watch now looks for the end of the connection once before the handler starts, so the request's context is cancelled by then.

TestClientThatLeftBeforeItsRequestIsReadCancelsIt failed before (the context of the first of 50 requests wasn't cancelled) and passes now.

--- a/internal/webio/conn.go
+++ b/internal/webio/conn.go
@@ -91,9 +91,13 @@
 }
 
 // watchDisconnect calls cancel if the client closes the connection before stop is
-// called. It peeks without consuming bytes, so that the next request stays intact, and
-// stops watching once the client sends further bytes.
+// called, or has closed it already. It doesn't consume bytes, so that the next request
+// stays intact, and stops watching once the client sends further bytes.
 func (c *clientConn) watchDisconnect(cancel context.CancelFunc) (stop func()) {
+	if c.hasDisconnected() {
+		cancel()
+		return func() {}
+	}
 	_ = c.SetReadDeadline(time.Time{})
 	done := make(chan struct{})
 	go func() {
@@ -108,6 +112,18 @@
 	}
 }
 
+// hasDisconnected reports whether the connection has ended and all bytes before its end
+// have been read.
+func (c *clientConn) hasDisconnected() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	disconnected := false
+	err = raw.Control(func(fd uintptr) { disconnected, _ = peekEnd(fd) })
+	return err != nil || disconnected
+}
+
 // waitDisconnect blocks until bytes arrive or the connection ends, and reports
 // whether it has ended.
 func (c *clientConn) waitDisconnect() bool {
@@ -116,18 +132,25 @@
 		return true
 	}
 	disconnected := false
-	var peeked [1]byte
 	err = raw.Read(func(fd uintptr) bool {
-		n, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
-			return false
-		}
-		disconnected = err != nil || n == 0
-		return true
+		var ready bool
+		disconnected, ready = peekEnd(fd)
+		return ready
 	})
 	return err == nil && disconnected
 }
 
+// peekEnd reports whether a socket is readable, and whether it is because its connection
+// has ended.
+func peekEnd(fd uintptr) (ended, ready bool) {
+	var peeked [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
+		return false, false
+	}
+	return err != nil || n == 0, true
+}
+
 // writeRejection writes an error response directly to the connection, since the
 // parser can't respond to a malformed request.
 func (c *clientConn) writeRejection(rejection *rejection) {
