internal/webio: a client that leaves after pipelining cancels its request

Endpoints worked on for callers who had sent a part of their next request before they closed the connection; the entry noticed only when it wrote the answer.

Cause: the watch peeks, and bytes that stay in the socket hide the end of the connection. Ruled out: the poller; it reports the end, but a peek shows the first bytes again.

Further bytes are now kept for the next read, up to 8 KiB, so the watch sees what follows. A client that sends more ahead is still not watched.

TestClientThatLeavesAfterPipeliningCancelsItsRequest failed before (not cancelled within 2 s). TestPipelinedRequestsAreServedInOrder passed before and after.

--- a/internal/webio/conn.go
+++ b/internal/webio/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +28,10 @@
 	// draining reports whether the server is shutting down.
 	draining bool
 	closed   bool
+
+	// ahead holds bytes that were read while a request was handled and that Read
+	// returns next.
+	ahead []byte
 }
 
 func newClientConn(conn *net.TCPConn) *clientConn {
@@ -48,6 +53,16 @@
 	return c.TCPConn.Close()
 }
 
+// Read reads what the client has sent. It must not be called while a request is handled.
+func (c *clientConn) Read(buffer []byte) (int, error) {
+	if len(c.ahead) > 0 {
+		n := copy(buffer, c.ahead)
+		c.ahead = c.ahead[n:]
+		return n, nil
+	}
+	return c.TCPConn.Read(buffer)
+}
+
 func (c *clientConn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -91,8 +106,8 @@
 }
 
 // watchDisconnect calls cancel if the client closes the connection before stop is
-// called, or has closed it already. It doesn't consume bytes, so that the next request
-// stays intact, and stops watching once the client sends further bytes.
+// called, or has closed it already. It stops watching once the client has sent more than
+// maxAheadBytes of further requests.
 func (c *clientConn) watchDisconnect(cancel context.CancelFunc) (stop func()) {
 	if c.hasDisconnected() {
 		cancel()
@@ -124,20 +139,41 @@
 	return err != nil || disconnected
 }
 
-// waitDisconnect blocks until bytes arrive or the connection ends, and reports
-// whether it has ended.
+// waitDisconnect blocks until the connection ends or its read deadline has passed, and
+// reports whether it has ended. It keeps what the client sends in c.ahead, and returns
+// if that is full.
 func (c *clientConn) waitDisconnect() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return true
 	}
-	disconnected := false
-	err = raw.Read(func(fd uintptr) bool {
-		var ready bool
-		disconnected, ready = peekEnd(fd)
-		return ready
-	})
-	return err == nil && disconnected
+	for {
+		ended := false
+		err := raw.Read(func(fd uintptr) bool {
+			var ready bool
+			ended, ready = peekEnd(fd)
+			return ready
+		})
+		if err != nil || ended {
+			return err == nil
+		}
+		if !c.readAhead() {
+			return false
+		}
+	}
+}
+
+// readAhead moves bytes that have arrived to c.ahead, and reports whether there was room
+// for them.
+func (c *clientConn) readAhead() bool {
+	room := maxAheadBytes - len(c.ahead)
+	if room <= 0 {
+		return false
+	}
+	c.ahead = slices.Grow(c.ahead, room)
+	n, err := c.TCPConn.Read(c.ahead[len(c.ahead):][:room])
+	c.ahead = c.ahead[:len(c.ahead)+n]
+	return err == nil
 }
 
 // peekEnd reports whether a socket is readable, and whether it is because its connection
--- a/internal/webio/server.go
+++ b/internal/webio/server.go
@@ -42,6 +42,8 @@
 
 	// readBufferBytes is the size of the buffer that a connection is read into.
 	readBufferBytes = 8 << 10
+	// maxAheadBytes limits what is read of further requests while one is handled.
+	maxAheadBytes = readBufferBytes
 	// writeBufferBytes is the size of the socket's send buffer.
 	writeBufferBytes = 32 << 10
 	// lingerTimeout limits the time to write a rejection, and the time to discard what
