internal/conns: nothing is sent for a caller who has left

Endpoints got requests of callers who had left while the entry chose an endpoint.

Cause: sched.Acquire may return an assignment together with the end of the context, and Send wrote the request to an idle connection before the function that closes it on that end had run. Ruled out: new connections; the dial fails.

Send returns ErrNotSent if its context has ended once it has a connection.

TestNothingIsSentForCallersWhoLeft failed before (the write was tried, and could not be told from one that had been sent) and passes now.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -252,7 +252,8 @@
 }
 
 // Send sends a request to the endpoint at address and returns its response once the
-// head has arrived. The connection is closed when ctx ends. Matches reports whether a
+// head has arrived. The connection is closed when ctx ends; nothing is sent if it has
+// ended already. Matches reports whether a
 // response belongs to the request; responses to other requests are skipped.
 func (p *Pool) Send(ctx context.Context, address netip.AddrPort, request Request, matches func(status int, header http.Header) bool) (*Response, error) {
 	c := p.takeIdle(address)
@@ -262,6 +263,10 @@
 			return nil, err
 		}
 	}
+	if err := ctx.Err(); err != nil {
+		_ = c.Close()
+		return nil, eris.Wrap(ErrNotSent, err.Error())
+	}
 	r := &Response{conn: c, pool: p, Reused: !c.fresh}
 	r.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := r.writeRequest(request); err != nil {
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -225,3 +225,18 @@
 		require.True(t, strings.HasPrefix(stream, joined))
 	})
 }
+
+// TestNothingIsSentForCallersWhoLeft guards against endpoints that run requests of callers
+// who left before a connection was chosen.
+func TestNothingIsSentForCallersWhoLeft(t *testing.T) {
+	var pool conns.Pool
+	address := serveResponses(t, ok("own", "a"), ok("own", "b"))
+	_, err := send(&pool, address, "")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return pool.Idle() == 1 }, time.Second, time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = pool.Send(ctx, address, conns.Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}},
+		func(int, http.Header) bool { return true })
+	require.ErrorIs(t, err, conns.ErrNotSent)
+}
