pkg/blame, internal/edge: parts of prompts that crash endpoints are blocked

Cause: crashes were recorded by a hash of path, team and body, and no two of these requests are alike. Ruled out: reports that come too late and repeats by the entry (no request_isolated at all; 7 to 8 crashes at re-forming groups).

Entries now record, for each shared part of a prompt, the crashes of endpoints that hadn't begun to answer, and answers. A part that was never answered is blocked at its first crash, one that was at the third episode without an answer between. A connection refused by the endpoint's host tells a crash from a connection that ended otherwise; endpoints that leave don't count. Hellos carry the records, at once after a crash; a process that has just started asks. Attempts that have a part when it becomes blocked are cancelled.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -217,7 +217,7 @@
 	}}
 	dialed, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
-		return nil, eris.Wrap(ErrNotSent, err.Error())
+		return nil, errors.Join(ErrNotSent, err)
 	}
 	p.mu.Lock()
 	p.opened++
@@ -227,6 +227,24 @@
 	return c, nil
 }
 
+// downTimeout limits the time to find out whether an endpoint is down. A host responds
+// within milliseconds, with a reset if nothing listens on the port.
+const downTimeout = 100 * time.Millisecond
+
+// IsDown reports whether the host of an endpoint refuses connections to it. It returns
+// false if the host doesn't respond. A connection that is accepted becomes an idle one.
+func (p *Pool) IsDown(ctx context.Context, address netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, downTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.expires = time.Now().Add(time.Duration(float64(defaultIdleTimeout) * idleTimeoutFraction))
+	p.putIdle(c)
+	return false
+}
+
 // Response is an endpoint's response whose head has been read. It must be closed.
 type Response struct {
 	Status int
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -73,6 +73,9 @@
 	var errorResponse *bufferedResponse
 	forwarder := &streamForwarder{request: r}
 	for {
+		if r.sendCount > 0 && e.parts.isBlocked(r.parts) {
+			break
+		}
 		if r.sendCount > 0 && !e.budget.takeRetry(r.service.Name(), time.Now(), limits) {
 			event.RetryDenied.Log(e.logger, zap.String("request", r.head.ID), zap.String("service", r.service.Name()))
 			break
@@ -88,6 +91,16 @@
 			}
 			break
 		}
+		if e.parts.isBlocked(r.parts) {
+			if refusal := e.parts.check(r.parts); refusal != nil {
+				r.service.Release(assignment)
+				if r.mayHaveRun {
+					break
+				}
+				r.refuse(refusal)
+				return
+			}
+		}
 		r.tried[assignment.Endpoint().ID()] = true
 		at := time.Since(r.receivedAt)
 		result, response, detail := r.send(ctx, assignment, forwarder)
@@ -141,10 +154,13 @@
 	case result == finished && r.status < http.StatusInternalServerError:
 		r.service.RecordSuccess(assignment)
 		r.entry.crashTracker.recordSuccess(r.fingerprint)
+	case result == failed && detail == errPartBlocked.Error():
+		// The entry gave up the attempt.
 	case result == failed && ctx.Err() == nil:
 		r.service.RecordFailure(assignment, detail)
 		if detail != errSilent.Error() {
 			r.entry.crashTracker.recordCrash(r.fingerprint, assignment.Endpoint().Incarnation())
+			r.entry.parts.recordFailure(ctx, r, assignment)
 		}
 	case result == notSent && ctx.Err() == nil, result == failed && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		r.service.RecordFailure(assignment, detail)
@@ -203,11 +219,12 @@
 // response is returned instead if it is a server error that was buffered, since a retry
 // at another endpoint may succeed. The last result describes the outcome in the request log.
 func (r *request) send(ctx context.Context, assignment sched.Assignment, forwarder *streamForwarder) (attemptResult, *bufferedResponse, string) {
+	r.answered.Store(false)
 	ctx, progress, stop := r.withSilenceTimeout(ctx, assignment)
 	defer stop()
 	result, response, detail := r.sendOnce(ctx, assignment, forwarder, progress)
-	if result == failed && errors.Is(context.Cause(ctx), errSilent) {
-		detail = errSilent.Error()
+	if cause := context.Cause(ctx); result == failed && (errors.Is(cause, errSilent) || errors.Is(cause, errPartBlocked)) {
+		detail = cause.Error()
 	}
 	return result, response, detail
 }
@@ -307,6 +324,9 @@
 	if !success && response.Status >= http.StatusInternalServerError {
 		return errored, buffered, "error " + strconv.Itoa(response.Status)
 	}
+	if success {
+		r.recordAnswer()
+	}
 	r.firstByte = time.Since(r.receivedAt)
 	r.respond(buffered.status, "", buffered.header, buffered.body)
 	return finished, nil, strconv.Itoa(response.Status)
@@ -362,7 +382,10 @@
 func (f *streamForwarder) forward(ctx context.Context, response *conns.Response, progress func()) (attemptResult, *bufferedResponse, string) {
 	r := f.request
 	events := conns.NewEventReader(response)
-	for {
+	for received := 0; ; received++ {
+		if received == settledEvents {
+			r.recordAnswer()
+		}
 		next, err := events.Next()
 		progress()
 		if errors.Is(err, io.EOF) {
@@ -403,9 +426,17 @@
 	return nil
 }
 
+// recordAnswer records that the endpoint has begun to answer.
+func (r *request) recordAnswer() {
+	if !r.answered.Swap(true) {
+		r.entry.parts.recordAnswer(r)
+	}
+}
+
 // finish ends the caller's stream after the endpoint's last event.
 func (f *streamForwarder) finish(response *conns.Response) (attemptResult, *bufferedResponse, string) {
 	r := f.request
+	r.recordAnswer()
 	if f.stream == nil {
 		if err := f.start(response); err != nil {
 			return finished, nil, "the caller has gone"
--- a/internal/edge/bounds_test.go
+++ b/internal/edge/bounds_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/wirepb"
+	"github.com/lentilstand/lentilstand/pkg/blame"
 	"github.com/lentilstand/lentilstand/pkg/table"
 )
 
@@ -112,6 +113,69 @@
 	}
 }
 
+// TestAllEntriesKnowWhichPartCrashesEndpoints checks that requests with a part that crashes
+// endpoints reach few of them, at fleets of each size, while five such requests a second come
+// at random entries and a fifth of the datagrams is lost.
+func TestAllEntriesKnowWhichPartCrashesEndpoints(t *testing.T) {
+	const loss, seeds, maxCrashes = 0.2, 20, 5
+	tick := helloPeriod
+	deadly, common := blame.PartOf("model", "dead01"), blame.PartOf("model", "a0")
+	never := func(blame.Part) bool { return false }
+	for _, count := range fleetSizes {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			members := make([]table.Member, count)
+			index := make(map[string]int)
+			for i := range members {
+				members[i] = table.NewMember(fmt.Sprintf("entry-%03d", i), "a", "10.0.0.1:1", "10.0.0.1:2")
+				index[members[i].Name()] = i
+			}
+			for seed := range seeds {
+				random := rand.New(rand.NewPCG(uint64(seed), uint64(count)))
+				now := time.Unix(1000, 0)
+				entries := make([]*blame.Tracker, count)
+				targets := make([]roundRobin, count)
+				for i := range entries {
+					entries[i], targets[i] = &blame.Tracker{}, roundRobin{position: random.IntN(1 << 20)}
+					entries[i].RecordAnswer([]blame.Part{common}, now)
+				}
+				now = now.Add(time.Minute)
+				deliver := func(to int, reports []blame.Report) {
+					if random.Float64() >= loss {
+						entries[to].Merge(reports, now)
+					}
+				}
+				crashes := 0
+				for range int(20 * time.Second / tick) {
+					now = now.Add(tick)
+					parts := []blame.Part{common, deadly}
+					at := random.IntN(count)
+					if refused, _ := entries[at].Check(parts, never, now); !refused {
+						crashes++
+						entries[at].RecordCrash(parts, fmt.Sprint("i-", crashes), now)
+						reports := entries[at].Export(now)
+						for to := range entries {
+							deliver(to, reports)
+						}
+					}
+					for i, entry := range entries {
+						reports := entry.Export(now)
+						for _, member := range targets[i].next(members) {
+							deliver(index[member.Name()], reports)
+						}
+					}
+				}
+				require.LessOrEqual(t, crashes, maxCrashes, "seed %d", seed)
+				for i, entry := range entries {
+					refused, _ := entry.Check([]blame.Part{deadly}, never, now)
+					require.True(t, refused, "seed %d: entry %d", seed, i)
+					refused, _ = entry.Check([]blame.Part{common}, never, now)
+					require.False(t, refused, "seed %d: entry %d", seed, i)
+				}
+			}
+		})
+	}
+}
+
 // TestMembersThatSendHellosStayListed checks that peerTimeout is longer than two
 // rounds of hellos, so that the loss of a hello does not make a member count as failed.
 func TestMembersThatSendHellosStayListed(t *testing.T) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -68,6 +68,7 @@
 	budget       budget
 	buffers      byteBudget
 	crashTracker *crashTracker
+	parts        *partGuard
 	log          *requestLog
 	requests     meter.Counter
 	firstByte    meter.Histogram
@@ -105,6 +106,7 @@
 	e.settings.Store(&settings)
 	e.storeSyncer = newStoreSyncer(e)
 	e.peers = newPeers(e)
+	e.parts = &partGuard{entry: e}
 	e.view.Store(e.storeSyncer.state.View())
 	e.requests = metrics.Counter("lentilstand_requests", "Finished requests by result.", "result")
 	e.firstByte = metrics.Histogram("lentilstand_first_byte", "Time until the first byte of a response.", "service")
--- a/internal/edge/guard.go
+++ b/internal/edge/guard.go
@@ -56,6 +56,10 @@
 				return
 			case <-ticker.C:
 			}
+			if !r.answered.Load() && r.entry.parts.isBlocked(r.parts) {
+				cancel(errPartBlocked)
+				return
+			}
 			if time.Since(time.Unix(0, lastProgress.Load())) > silenceTimeout && r.service.IsAgentSilent(assignment) && r.canRetryElsewhere() {
 				cancel(errSilent)
 				return
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -27,6 +27,9 @@
 	helloFanout = 8
 	// subscribePeriod is how often subscriptions at agents are renewed.
 	subscribePeriod = time.Second
+	// youngPeriod is how long after its start a process asks for reports on suspect parts
+	// with each of its hellos.
+	youngPeriod = 2 * time.Second
 	// agentListSenders is the expected number of entries that send an agent the list
 	// of all agents in one round, until the agent has it. If all entries sent it, a large
 	// fleet would flood agents that start.
@@ -191,12 +194,42 @@
 	}
 }
 
+// announceParts tells all members at once what this entry knows about suspect parts.
+// Hellos in turn take seconds in a large fleet, in which further endpoints may crash.
+func (p *peers) announceParts() {
+	message := p.helloMessage(p.entry.storeSyncer.revision(), p.entry.storeSyncer.isWatching())
+	for _, member := range p.entry.view.Load().Members() {
+		p.send(member, message)
+	}
+}
+
+// answerYoung tells a process that has just started what this entry knows about suspect
+// parts. Until it hears of them it would send them to endpoints.
+func (p *peers) answerYoung(address netip.AddrPort) {
+	parts := encodeReports(p.entry.parts.tracker.ExportAll(time.Now()))
+	if len(parts) == 0 {
+		return
+	}
+	message := p.helloMessage(p.entry.storeSyncer.revision(), p.entry.storeSyncer.isWatching())
+	message.GetHello().Parts, message.GetHello().Young = parts, false
+	p.entry.socket.Send(message, address)
+}
+
+// isYoung reports whether this process has started within youngPeriod.
+func (p *peers) isYoung() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.startedAt) < youngPeriod
+}
+
 func (p *peers) helloMessage(revision uint64, watching bool) *wirepb.Datagram {
 	hello := &wirepb.Hello{
 		Name:     p.entry.settings.Load().Name(),
 		Revision: revision,
 		Suspects: p.entry.crashTracker.export(),
 		Watching: watching,
+		Parts:    encodeReports(p.entry.parts.tracker.Export(time.Now())),
+		Young:    p.isYoung(),
 	}
 	p.mu.Lock()
 	p.relay.writeTo(hello, time.Now())
@@ -326,6 +359,10 @@
 
 func (p *peers) receiveHello(from netip.AddrPort, hello *wirepb.Hello) {
 	p.entry.crashTracker.merge(hello.GetSuspects())
+	p.entry.parts.merge(hello.GetParts())
+	if hello.GetYoung() {
+		p.answerYoung(from)
+	}
 	known := p.entry.storeSyncer.revision()
 	if hello.GetWatching() {
 		p.entry.storeSyncer.confirm(hello.GetRevision())
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/webio"
+	"github.com/lentilstand/lentilstand/pkg/blame"
 	"github.com/lentilstand/lentilstand/pkg/mirror"
 	"github.com/lentilstand/lentilstand/pkg/sched"
 	"github.com/lentilstand/lentilstand/pkg/table"
@@ -35,14 +37,18 @@
 	host        string
 	body        []byte
 	fingerprint uint64
-	receivedAt  time.Time
-	deadline    time.Time
+	// parts holds the parts of the prompt that other requests may share.
+	parts      []blame.Part
+	receivedAt time.Time
+	deadline   time.Time
 
 	attempts []attempt
 	// tried holds the ids of the endpoints to which the request was assigned.
 	tried map[string]bool
 	// sendCount is the number of attempts that reached an endpoint.
 	sendCount int
+	// answered reports whether the endpoint of the last attempt has begun to answer.
+	answered atomic.Bool
 	// mayHaveRun reports whether an endpoint may have started to run the request.
 	mayHaveRun bool
 	// status is the status that was sent to the caller; zero is logged as a broken
@@ -135,6 +141,10 @@
 	if r.entry.crashTracker.isBlocked(r.fingerprint) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "the request is blocked: endpoints died while running it"}
 	}
+	r.parts = partsOf(r.service.Name(), r.head.SharedParts)
+	if refusal := r.entry.parts.check(r.parts); refusal != nil {
+		return refusal
+	}
 	timeout := defaultTimeout
 	for _, bound := range []time.Duration{r.route.Timeout(), r.head.Timeout} {
 		if bound > 0 {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -39,6 +39,9 @@
 	RequestDecided   = register(2013, "request_decided", infoLevel, "A request on the platform has ended: `route`, `version` of the table and its `age_ms`, the `attempts` with endpoint and result, `status` and `reason`.")
 	RequestsUnlogged = register(2014, "requests_unlogged", warnLevel, "More requests ended than may be logged; `left_out` requests were not logged individually since the last such entry.")
 	RetryDenied      = register(2015, "retry_denied", warnLevel, "A request was not retried because the retry budget is exhausted.")
+	PartSuspected    = register(2016, "part_suspected", warnLevel, "An endpoint crashed before it began to answer a request; the shared `parts` of its prompt are suspect.")
+	PartBlocked      = register(2017, "part_blocked", warnLevel, "Requests with a part of a prompt are refused, since endpoints crashed on it `crashes` times without an answer.")
+	PartCleared      = register(2018, "part_cleared", infoLevel, "Requests with a part of a prompt are no longer refused.")
 	ClaimUnsettled   = register(2010, "claim_unsettled", warnLevel, "The outcome of a claimed request could not be written to the key-value service.")
 )
 
--- /dev/null
+++ b/pkg/blame/blame_test.go
@@ -0,0 +1,207 @@
+package blame_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lentilstand/lentilstand/pkg/blame"
+)
+
+const (
+	deadly blame.Part = 1
+	common blame.Part = 2
+	rare   blame.Part = 3
+)
+
+// history is a sequence of crashes and answers at one tracker.
+type history struct {
+	tracker blame.Tracker
+	now     time.Time
+	crashes int
+}
+
+// newHistory returns a history in which the common part has been answered for a while.
+func newHistory() *history {
+	h := &history{now: time.Unix(1000, 0)}
+	h.answer(common)
+	h.sleep(time.Minute)
+	return h
+}
+
+func (h *history) sleep(duration time.Duration) { h.now = h.now.Add(duration) }
+
+func (h *history) answer(parts ...blame.Part) { h.tracker.RecordAnswer(parts, h.now) }
+
+// crash records the crash of another endpoint.
+func (h *history) crash(parts ...blame.Part) {
+	h.crashes++
+	h.tracker.RecordCrash(parts, fmt.Sprint("i-", h.crashes), h.now)
+}
+
+// passes reports whether a request with the parts may be sent by an entry that does or
+// doesn't probe.
+func (h *history) passes(isProber bool, parts ...blame.Part) bool {
+	refused, _ := h.tracker.Check(parts, func(blame.Part) bool { return isProber }, h.now)
+	return !refused
+}
+
+// TestPartsAreBlocked guards against parts that crash endpoints and aren't blocked, and
+// against sound parts of the same requests that are.
+func TestPartsAreBlocked(t *testing.T) {
+	testCases := []struct {
+		name   string
+		events func(h *history)
+		want   map[blame.Part]bool
+	}{
+		{name: "a part that was never answered", events: func(h *history) { h.crash(common, deadly) },
+			want: map[blame.Part]bool{deadly: true, common: false}},
+		{name: "bystanders at the same endpoint", events: func(h *history) {
+			h.crash(common, deadly)
+			h.tracker.RecordCrash([]blame.Part{common, rare}, "i-1", h.now)
+			h.answer(common, rare)
+		}, want: map[blame.Part]bool{deadly: true, common: false, rare: false}},
+		{name: "a part in common use that begins to crash endpoints", events: func(h *history) {
+			for range 3 {
+				h.sleep(5 * time.Second)
+				h.crash(common)
+			}
+		}, want: map[blame.Part]bool{common: true}},
+		{name: "three endpoints that crash together", events: func(h *history) {
+			for range 3 {
+				h.crash(common)
+			}
+		}, want: map[blame.Part]bool{common: false}},
+		{name: "crashes with answers between them", events: func(h *history) {
+			for range 6 {
+				h.sleep(5 * time.Second)
+				h.crash(common)
+				h.sleep(time.Second)
+				h.answer(common)
+			}
+		}, want: map[blame.Part]bool{common: false}},
+		{name: "crashes that another part explains", events: func(h *history) {
+			for range 4 {
+				h.sleep(5 * time.Second)
+				h.crashes++
+				for _, parts := range [][]blame.Part{{deadly}, {common}} {
+					h.tracker.RecordCrash(parts, fmt.Sprint("i-", h.crashes), h.now)
+				}
+			}
+		}, want: map[blame.Part]bool{deadly: true, common: false}},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHistory()
+			tc.events(h)
+			for part, blocked := range tc.want {
+				require.Equal(t, blocked, !h.passes(false, part), "part %d", part)
+				require.Equal(t, blocked, h.tracker.IsBlocked([]blame.Part{part}, h.now), "part %d", part)
+			}
+		})
+	}
+}
+
+// TestPartsInCommonUseSurviveARestart guards against a crash soon after the start of an
+// entry, which knows of no answers yet, blocking what most requests have.
+func TestPartsInCommonUseSurviveARestart(t *testing.T) {
+	h := &history{now: time.Unix(1000, 0)}
+	h.crash(common)
+	require.True(t, h.passes(false, common))
+	h.answer(rare)
+	h.crash(common)
+	require.True(t, h.passes(false, common), "crashes of one episode")
+	h.sleep(4 * time.Second)
+	h.crash(common)
+	require.False(t, h.passes(false, common))
+	h.answer(common)
+	require.True(t, h.passes(false, common))
+}
+
+// TestBlockedPartsAreProbed guards against parts that stay blocked though they are sound,
+// and against probes that crash endpoints again and again.
+func TestBlockedPartsAreProbed(t *testing.T) {
+	h := newHistory()
+	h.crash(deadly)
+	for _, delay := range []time.Duration{30 * time.Second, time.Minute, 2 * time.Minute} {
+		h.sleep(delay - time.Millisecond)
+		require.False(t, h.passes(true, deadly), "%s after the last crash", delay)
+		h.sleep(time.Millisecond)
+		require.False(t, h.passes(false, deadly), "only one entry probes")
+		require.True(t, h.passes(true, deadly))
+		require.False(t, h.passes(true, deadly), "only one request is the probe")
+		require.False(t, h.tracker.IsBlocked([]blame.Part{deadly}, h.now), "the probe isn't cancelled")
+		h.crash(deadly)
+	}
+	h.sleep(4 * time.Minute)
+	require.True(t, h.passes(true, deadly))
+	h.answer(deadly)
+	require.True(t, h.passes(false, deadly))
+	var last blame.Change
+	for _, change := range h.tracker.DrainChanges() {
+		last = change
+	}
+	require.Equal(t, deadly, last.Part())
+	require.False(t, last.Blocked())
+}
+
+// TestReportsCarryCrashesAndAnswers guards against entries that decide by their own crashes
+// and answers only.
+func TestReportsCarryCrashesAndAnswers(t *testing.T) {
+	a, b := newHistory(), newHistory()
+	b.answer(rare)
+	b.sleep(time.Second)
+	a.sleep(time.Second)
+	a.crash(deadly)
+	a.crash(rare)
+	exchange := func() {
+		b.tracker.Merge(a.tracker.Export(a.now), b.now)
+		a.tracker.Merge(b.tracker.Export(b.now), a.now)
+	}
+	require.False(t, a.passes(false, rare), "only the other entry knows an answer")
+	exchange()
+	for name, h := range map[string]*history{"a": a, "b": b} {
+		require.False(t, h.passes(false, deadly), name)
+		require.True(t, h.passes(false, rare), name)
+	}
+	young := &history{now: a.now}
+	young.tracker.Merge(a.tracker.ExportAll(a.now), young.now)
+	require.False(t, young.passes(false, deadly), "an entry that has just started relies on the others")
+}
+
+// TestTrackerIsBounded guards against memory that grows with the number of parts.
+func TestTrackerIsBounded(t *testing.T) {
+	h := newHistory()
+	h.crash(deadly)
+	for n := range 20_000 {
+		h.sleep(time.Millisecond)
+		part := blame.Part(100 + n)
+		h.answer(part)
+		if n%10 == 0 {
+			h.crash(part)
+		}
+	}
+	require.False(t, h.passes(false, deadly), "blocked parts aren't evicted by others")
+	require.LessOrEqual(t, len(h.tracker.ExportAll(h.now)), 24)
+	h.sleep(2 * time.Hour)
+	require.Empty(t, h.tracker.ExportAll(h.now))
+}
+
+func ExampleTracker() {
+	var tracker blame.Tracker
+	now := time.Unix(1000, 0)
+	system, turn := blame.PartOf("skiff-lm", "a0"), blame.PartOf("skiff-lm", "b1")
+	tracker.RecordAnswer([]blame.Part{system}, now)
+	now = now.Add(time.Minute)
+	tracker.RecordCrash([]blame.Part{system, turn}, "endpoint-1", now)
+	never := func(blame.Part) bool { return false }
+	for _, parts := range [][]blame.Part{{system}, {system, turn}} {
+		refused, _ := tracker.Check(parts, never, now)
+		fmt.Println(refused)
+	}
+	// Output:
+	// false
+	// true
+}
--- /dev/null
+++ b/pkg/blame/report.go
@@ -0,0 +1,138 @@
+package blame
+
+import "time"
+
+// Limits of the exchange of reports.
+const (
+	// newsTTL is how long each export contains a suspect after its record changed. Others
+	// are exported once in fullPeriod, for entries that have missed the news.
+	newsTTL    = 2 * time.Second
+	fullPeriod = 2 * time.Second
+	// maxReports limits the reports of one export.
+	maxReports = 24
+)
+
+// Crash is the crash of an endpoint while it held a request with a suspect part.
+type Crash struct {
+	incarnation uint64
+	age         time.Duration
+}
+
+// NewCrash returns a crash of an endpoint incarnation, given by the hash of its name.
+func NewCrash(incarnation uint64, age time.Duration) Crash {
+	return Crash{incarnation: incarnation, age: age}
+}
+
+// Incarnation returns the hash of the incarnation's name.
+func (c Crash) Incarnation() uint64 { return c.incarnation }
+
+// Age returns the time since the crash.
+func (c Crash) Age() time.Duration { return c.age }
+
+// Report is what an entry knows about a suspect part. Ages, unlike times, don't depend on
+// the clocks of hosts.
+type Report struct {
+	part     Part
+	crashes  []Crash
+	answered time.Duration
+	proven   bool
+	blocked  bool
+}
+
+// NewReport returns a report on a part that no endpoint has answered.
+func NewReport(part Part, crashes ...Crash) Report {
+	return Report{part: part, crashes: crashes}
+}
+
+// WithAnswer returns the report of a part that was last answered some time ago.
+func (r Report) WithAnswer(age time.Duration) Report {
+	r.answered, r.proven = age, true
+	return r
+}
+
+// WithBlock returns the report of an entry that blocks the part.
+func (r Report) WithBlock() Report {
+	r.blocked = true
+	return r
+}
+
+// Part returns the part.
+func (r Report) Part() Part { return r.part }
+
+// Crashes returns the crashes.
+func (r Report) Crashes() []Crash { return r.crashes }
+
+// Answer returns the time since the part was last answered, and whether it was.
+func (r Report) Answer() (age time.Duration, proven bool) { return r.answered, r.proven }
+
+// Blocked reports whether the entry blocks the part.
+func (r Report) Blocked() bool { return r.blocked }
+
+// Export returns reports for all other entries: on the parts whose record has changed, and
+// from time to time on all.
+func (t *Tracker) Export(now time.Time) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := now.Sub(t.exportedAt) >= fullPeriod
+	if all {
+		t.exportedAt = now
+	}
+	return t.reports(all, now)
+}
+
+// ExportAll returns reports on all suspect parts, for an entry that knows of none.
+func (t *Tracker) ExportAll(now time.Time) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reports(true, now)
+}
+
+// reports returns reports on the parts whose record has changed recently, or on all. The
+// caller holds t.mu.
+func (t *Tracker) reports(all bool, now time.Time) []Report {
+	t.updateBlocked(now)
+	var reports []Report
+	for part, s := range t.suspects {
+		if !all && now.Sub(s.changedAt) >= newsTTL {
+			continue
+		}
+		report := NewReport(part)
+		for incarnation, at := range s.crashes {
+			report.crashes = append(report.crashes, NewCrash(incarnation, now.Sub(at)))
+		}
+		if answered, proven := t.answers.last(part); proven {
+			report = report.WithAnswer(now.Sub(answered))
+		}
+		if s.blocked {
+			report = report.WithBlock()
+		}
+		if reports = append(reports, report); len(reports) >= maxReports {
+			break
+		}
+	}
+	return reports
+}
+
+// Merge adds the reports of another entry.
+func (t *Tracker) Merge(reports []Report, now time.Time) {
+	if len(reports) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, report := range reports {
+		if age, proven := report.Answer(); proven {
+			t.addAnswer(report.part, now.Add(-age), now)
+		}
+		for _, crash := range report.crashes {
+			at := now.Add(-crash.age)
+			if answered, _ := t.answers.last(report.part); at.After(answered) && crash.age < blockTTL {
+				t.addCrash(report.part, crash.incarnation, at, now)
+			}
+		}
+		if s := t.suspects[report.part]; s != nil && report.blocked {
+			s.vetted = true
+		}
+	}
+	t.updateBlocked(now)
+}
--- /dev/null
+++ b/pkg/blame/tracker.go
@@ -0,0 +1,356 @@
+package blame
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Limits of the tracker.
+const (
+	// unprovenEpisodes is the number of episodes of crashes that block a part that was
+	// never answered, and earlyEpisodes the same within experience of the tracker's first
+	// answer, when parts in common use haven't been answered yet either.
+	unprovenEpisodes = 1
+	earlyEpisodes    = 2
+	experience       = 5 * time.Second
+	// provenEpisodes is the number of episodes since its last answer that block a part
+	// that was answered before.
+	provenEpisodes = 3
+	// episodeLength is how long an episode of crashes lasts. Endpoints that start together
+	// may crash together, before any of them answers anything.
+	episodeLength = 3 * time.Second
+	// unprovenDelay and provenDelay are the times from the last crash to the probe of a
+	// part that was never answered, and of one that was. They double with each further
+	// crash, at most maxDoublings times.
+	unprovenDelay = 30 * time.Second
+	provenDelay   = 10 * time.Second
+	maxDoublings  = 6
+	// clearedTTL is how long the record of a part is kept once it was answered after the
+	// last crash, so that other entries hear of the answer.
+	clearedTTL = 10 * time.Second
+	// probeTimeout is how long a probe may take before the next one.
+	probeTimeout = 10 * time.Second
+	// suspectTTL is how long the crashes of a part are kept after the last one if they
+	// don't block it, and blockTTL if they do.
+	suspectTTL = 2 * time.Minute
+	blockTTL   = time.Hour
+	// maxSuspects limits the suspect parts. The one whose record changed longest ago is
+	// evicted first, preferably one that isn't blocked.
+	maxSuspects = 64
+	// maxCrashes limits the crashes that are kept of one part.
+	maxCrashes = 8
+)
+
+// Part identifies a part of prompts.
+type Part uint64
+
+// PartOf returns the part with an id among the prompts of a service.
+func PartOf(service, id string) Part {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(service)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(id)
+	return Part(digest.Sum64())
+}
+
+// Tracker records crashes and answers, and decides which parts are blocked. The zero
+// value is ready to use. It is safe for concurrent use.
+type Tracker struct {
+	mu       sync.Mutex
+	suspects map[Part]*suspect
+	answers  answers
+	// firstAnswer is when an endpoint first answered a request of this tracker.
+	firstAnswer time.Time
+	// exportedAt is when Export last returned all suspects.
+	exportedAt time.Time
+	changes    []Change
+}
+
+// suspect is the record of a part that was in requests at endpoints that crashed.
+type suspect struct {
+	// crashes holds when endpoint incarnations crashed, by the hash of their names.
+	crashes map[uint64]time.Time
+	// changedAt is when something was last learned about the part.
+	changedAt time.Time
+	probedAt  time.Time
+	// vetted is set if an entry with experience blocks the part.
+	vetted bool
+	// blocked is the state that was last reported by DrainChanges.
+	blocked bool
+}
+
+// Change is a part that became blocked or is no longer blocked.
+type Change struct {
+	part    Part
+	blocked bool
+	crashes int
+}
+
+// Part returns the part that changed.
+func (c Change) Part() Part { return c.part }
+
+// Blocked reports whether the part became blocked.
+func (c Change) Blocked() bool { return c.blocked }
+
+// Crashes returns the number of crashes since the part was last answered.
+func (c Change) Crashes() int { return c.crashes }
+
+// RecordAnswer records that an endpoint answers a request with the parts.
+func (t *Tracker) RecordAnswer(parts []Part, now time.Time) {
+	if len(parts) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.firstAnswer.IsZero() {
+		t.firstAnswer = now
+	}
+	for _, part := range parts {
+		t.addAnswer(part, now, now)
+	}
+}
+
+// addAnswer records that a part was answered. The caller holds t.mu.
+func (t *Tracker) addAnswer(part Part, at, now time.Time) {
+	last, _ := t.answers.last(part)
+	t.answers.add(part, at)
+	if s := t.suspects[part]; s != nil && at.After(s.lastCrash()) && !last.After(s.lastCrash()) {
+		s.changedAt = now
+		t.updateBlocked(now)
+	}
+}
+
+// RecordCrash records that an endpoint incarnation crashed while it held a request with
+// the parts that it hadn't begun to answer. If one of them is blocked already, the others
+// aren't suspected.
+func (t *Tracker) RecordCrash(parts []Part, incarnation string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	suspected := parts
+	if blocked := t.blockedAmong(parts, now); len(blocked) > 0 {
+		suspected = blocked
+	}
+	for _, part := range suspected {
+		t.addCrash(part, xxhash.Sum64String(incarnation), now, now)
+	}
+	t.updateBlocked(now)
+}
+
+// blockedAmong returns the parts that are blocked. The caller holds t.mu.
+func (t *Tracker) blockedAmong(parts []Part, now time.Time) []Part {
+	var blocked []Part
+	for _, part := range parts {
+		if t.isBlocked(part, now) {
+			blocked = append(blocked, part)
+		}
+	}
+	return blocked
+}
+
+// addCrash adds a crash to a part's record. The caller holds t.mu.
+func (t *Tracker) addCrash(part Part, incarnation uint64, at, now time.Time) {
+	s := t.suspects[part]
+	if s == nil {
+		t.makeRoom(now)
+		if t.suspects == nil {
+			t.suspects = make(map[Part]*suspect)
+		}
+		s = &suspect{crashes: make(map[uint64]time.Time)}
+		t.suspects[part] = s
+	}
+	if _, known := s.crashes[incarnation]; known {
+		return
+	}
+	if len(s.crashes) >= maxCrashes {
+		s.removeOldest()
+	}
+	s.crashes[incarnation] = at
+	s.changedAt = now
+}
+
+// removeOldest removes the oldest crash.
+func (s *suspect) removeOldest() {
+	var oldest uint64
+	for incarnation, at := range s.crashes {
+		if _, present := s.crashes[oldest]; !present || at.Before(s.crashes[oldest]) {
+			oldest = incarnation
+		}
+	}
+	delete(s.crashes, oldest)
+}
+
+// makeRoom evicts a suspect if there are maxSuspects. The caller holds t.mu.
+func (t *Tracker) makeRoom(now time.Time) {
+	if len(t.suspects) < maxSuspects {
+		return
+	}
+	var victim Part
+	var victimBlocked bool
+	var oldest *suspect
+	for part, s := range t.suspects {
+		blocked := t.isBlocked(part, now)
+		if oldest == nil || victimBlocked && !blocked || victimBlocked == blocked && s.changedAt.Before(oldest.changedAt) {
+			victim, victimBlocked, oldest = part, blocked, s
+		}
+	}
+	delete(t.suspects, victim)
+}
+
+// Check returns whether a request with the parts must be refused because one of them is
+// blocked, and when the part will be probed next. If a probe is due and isProber returns
+// true for the part, the request is the probe.
+func (t *Tracker) Check(parts []Part, isProber func(Part) bool, now time.Time) (refused bool, nextProbe time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.suspects) == 0 {
+		return false, time.Time{}
+	}
+	blocked := t.blockedAmong(parts, now)
+	for _, part := range blocked {
+		if due := t.probeDue(part); now.Before(due) || !isProber(part) {
+			refused = true
+			nextProbe = laterOf(nextProbe, due)
+		}
+	}
+	if !refused {
+		for _, part := range blocked {
+			t.suspects[part].probedAt = now
+		}
+	}
+	return refused, nextProbe
+}
+
+// IsBlocked reports whether one of the parts is blocked and no probe of it has been let
+// through recently, as a request that is the probe must not be cancelled.
+func (t *Tracker) IsBlocked(parts []Part, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.suspects) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(t.blockedAmong(parts, now), func(part Part) bool {
+		return t.suspects[part].probedAt.Before(t.suspects[part].lastCrash())
+	})
+}
+
+// probeDue returns when the next probe of a blocked part may be sent. The caller holds
+// t.mu.
+func (t *Tracker) probeDue(part Part) time.Time {
+	s := t.suspects[part]
+	answered, proven := t.answers.last(part)
+	delay, excess := unprovenDelay, episodes(s.since(answered))-unprovenEpisodes
+	if proven {
+		delay, excess = provenDelay, episodes(s.since(answered))-provenEpisodes
+	}
+	due := s.lastCrash().Add(delay << min(max(0, excess), maxDoublings))
+	return laterOf(due, s.probedAt.Add(probeTimeout))
+}
+
+// isBlocked reports whether a part is blocked. The caller holds t.mu.
+func (t *Tracker) isBlocked(part Part, now time.Time) bool {
+	s := t.suspects[part]
+	if s == nil || now.Sub(s.lastCrash()) >= blockTTL {
+		return false
+	}
+	answered, proven := t.answers.last(part)
+	if !proven {
+		required := earlyEpisodes
+		if s.vetted || !t.firstAnswer.IsZero() && now.Sub(t.firstAnswer) >= experience {
+			required = unprovenEpisodes
+		}
+		return episodes(s.since(time.Time{})) >= required
+	}
+	return episodes(t.unexplained(s, answered)) >= provenEpisodes
+}
+
+// unexplained returns the times of a suspect's crashes since it was answered, without
+// those that a part explains which was never answered and was at several crashes. The
+// caller holds t.mu.
+func (t *Tracker) unexplained(s *suspect, answered time.Time) []time.Time {
+	var times []time.Time
+	for incarnation, at := range s.crashes {
+		if at.After(answered) && !t.isExplained(incarnation) {
+			times = append(times, at)
+		}
+	}
+	return times
+}
+
+func (t *Tracker) isExplained(incarnation uint64) bool {
+	for part, s := range t.suspects {
+		_, proven := t.answers.last(part)
+		if _, present := s.crashes[incarnation]; present && !proven && len(s.crashes) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// since returns the times of the crashes after a time.
+func (s *suspect) since(start time.Time) []time.Time {
+	var times []time.Time
+	for _, at := range s.crashes {
+		if at.After(start) {
+			times = append(times, at)
+		}
+	}
+	return times
+}
+
+func (s *suspect) lastCrash() time.Time {
+	var last time.Time
+	for _, at := range s.crashes {
+		last = laterOf(last, at)
+	}
+	return last
+}
+
+// episodes returns the number of episodes in the times of crashes.
+func episodes(times []time.Time) int {
+	slices.SortFunc(times, time.Time.Compare)
+	count := 0
+	var start time.Time
+	for _, at := range times {
+		if count == 0 || at.Sub(start) >= episodeLength {
+			count++
+			start = at
+		}
+	}
+	return count
+}
+
+// updateBlocked drops expired suspects and notes which parts have become blocked or are
+// no longer blocked. The caller holds t.mu.
+func (t *Tracker) updateBlocked(now time.Time) {
+	for part, s := range t.suspects {
+		blocked := t.isBlocked(part, now)
+		answered, _ := t.answers.last(part)
+		if blocked != s.blocked {
+			s.blocked = blocked
+			t.changes = append(t.changes, Change{part: part, blocked: blocked, crashes: len(s.since(answered))})
+		}
+		cleared := answered.After(s.lastCrash()) && now.Sub(s.changedAt) >= clearedTTL
+		if !blocked && (cleared || now.Sub(s.lastCrash()) >= suspectTTL) {
+			delete(t.suspects, part)
+		}
+	}
+}
+
+// DrainChanges returns the changes since the last call.
+func (t *Tracker) DrainChanges() []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changes := t.changes
+	t.changes = nil
+	return changes
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
