internal/edge, pkg/sched: a replica that says it leaves gets no new requests

Cause: the entry took leaving only from the store, which may be down or turn it away. Ruled out: answers that are skipped; the header was read nowhere.

The entry stops to assign requests to that incarnation at the first such answer. A crash of an endpoint that has said so isn't blamed on a prompt either.

--- /dev/null
+++ b/internal/edge/answers_test.go
@@ -0,0 +1,53 @@
+package edge_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestReplicaThatSaysItLeavesGetsNoNewRequests guards against requests to a replica that
+// says in its answers that it leaves, while the store doesn't say so, as it may be down.
+func TestReplicaThatSaysItLeavesGetsNoNewRequests(t *testing.T) {
+	testCases := []struct {
+		name   string
+		path   string
+		answer string
+		status int
+	}{
+		{name: "in an answer", path: "/book/1", status: http.StatusOK,
+			answer: "HTTP/1.1 200 OK\r\nLentilstand-Request-Id: %s\r\nLentilstand-Response-Seal: seal\r\nServer-Leaving: 1\r\nContent-Length: 2\r\n\r\nok"},
+		{name: "as it turns a request away", path: "/book/1", status: http.StatusServiceUnavailable,
+			answer: "HTTP/1.1 503 Service Unavailable\r\nLentilstand-Request-Id: %s\r\nLentilstand-Not-Executed: 1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"},
+		{name: "in the head of a stream", path: "/draft/1", status: http.StatusOK,
+			answer: "HTTP/1.1 200 OK\r\nLentilstand-Request-Id: %s\r\nLentilstand-Response-Seal: seal\r\nContent-Type: text/event-stream\r\nServer-Leaving: 1\r\n\r\nid: 1\ndata: x\n\n"},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			s, leaving := startRawSite(t, func(conn net.Conn, _ int, id string) bool {
+				fmt.Fprintf(conn, tc.answer, id)
+				return false
+			})
+			require.Equal(t, tc.status, s.call(0, http.MethodPost, tc.path, "", nil).status)
+			other := s.startRawReplica("i-other", func(conn net.Conn, _ int, id string) bool {
+				writeAnswer(conn, id, "answer")
+				return true
+			})
+			require.Eventually(t, func() bool {
+				s.call(0, http.MethodPost, "/book/1", "", nil)
+				return other.requests() > 0
+			}, 3*time.Second, 10*time.Millisecond)
+			// A later change of its registration doesn't bring it back.
+			s.write("servers/i-raw", fmt.Sprintf(`{"service":"plain","address":%q,"zone":"gmunden","slots":8,"state":"ready","coldLeftMs":0,"born":1,"sequence":2}`, leaving.address))
+			time.Sleep(200 * time.Millisecond)
+			for range 20 {
+				require.Equal(t, http.StatusOK, s.call(0, http.MethodPost, "/book/1", "", nil).status)
+			}
+			require.Equal(t, 1, leaving.requests())
+		})
+	}
+}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -263,6 +263,9 @@
 		return failed, nil, err.Error()
 	}
 	defer response.Close()
+	if reply.Leaving {
+		r.service.RecordLeaving(assignment)
+	}
 	if reply.HasLoad {
 		r.service.UpdateFromResponse(assignment, reply.Running, reply.Waiting, reply.Slots)
 	}
--- a/internal/edge/faulty_test.go
+++ b/internal/edge/faulty_test.go
@@ -18,6 +18,7 @@
 // counted from 1. If respond returns false, the connection is closed.
 type rawReplica struct {
 	respond func(conn net.Conn, n int, id string) bool
+	address string
 
 	mu       sync.Mutex
 	received int
@@ -48,8 +49,9 @@
 			running.Go(func() { r.serve(conn) })
 		}
 	})
+	r.address = listener.Addr().String()
 	s.write("servers/"+id, fmt.Sprintf(`{"service":"plain","address":%q,"zone":"gmunden","slots":8,"state":"ready","coldLeftMs":0,"born":1}`,
-		listener.Addr().String()))
+		r.address))
 	return r
 }
 
--- a/internal/edge/parts.go
+++ b/internal/edge/parts.go
@@ -86,7 +86,7 @@
 // crashes.
 func (g *partGuard) recordFailure(ctx context.Context, r *request, assignment sched.Assignment) {
 	endpoint := assignment.Endpoint()
-	if len(r.parts) == 0 || r.answered.Load() || g.isLeaving(endpoint.Service(), endpoint.ID()) || !g.entry.pool.IsDown(ctx, endpoint.Address()) {
+	if len(r.parts) == 0 || r.answered.Load() || r.service.IsLeaving(assignment) || !g.entry.pool.IsDown(ctx, endpoint.Address()) {
 		return
 	}
 	event.PartSuspected.Log(g.entry.logger, zap.String("request", r.head.ID), zap.String("endpoint", endpoint.ID()),
@@ -96,16 +96,6 @@
 	g.entry.peers.announceParts()
 }
 
-// isLeaving reports whether an endpoint is draining or no longer registered.
-func (g *partGuard) isLeaving(service, id string) bool {
-	for _, endpoint := range g.entry.view.Load().Endpoints(service) {
-		if endpoint.ID() == id {
-			return endpoint.Draining()
-		}
-	}
-	return true
-}
-
 // logChanges logs the parts that have become blocked or are no longer blocked.
 func (g *partGuard) logChanges() {
 	for _, change := range g.tracker.DrainChanges() {
--- a/pkg/sched/endpoint.go
+++ b/pkg/sched/endpoint.go
@@ -12,6 +12,9 @@
 type endpoint struct {
 	spec     *table.Endpoint
 	draining bool
+	// saidLeaving is set once the endpoint itself has said that it leaves, which the store
+	// may not show yet.
+	saidLeaving bool
 	// unused is set if the endpoint isn't in the entry's subset of the endpoints that take
 	// requests. It then gets no new ones.
 	unused bool
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -260,7 +260,7 @@
 		if spec.Draining() && !e.draining {
 			event.EndpointLeaving.Log(s.logger, zap.String("endpoint", spec.ID()), zap.Uint64("revision", revision))
 		}
-		e.spec, e.draining = spec, spec.Draining()
+		e.spec, e.draining = spec, spec.Draining() || e.saidLeaving
 		updated = append(updated, e)
 	}
 	for _, e := range s.endpoints {
@@ -433,6 +433,30 @@
 	assignment.endpoint.addFailure(errorResponseWeight, s.now())
 }
 
+// RecordLeaving records that an endpoint has said that it leaves. It gets no more requests
+// unless it restarts.
+func (s *Service) RecordLeaving(assignment Assignment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := assignment.endpoint
+	if e.saidLeaving {
+		return
+	}
+	if !e.draining {
+		event.EndpointLeaving.Log(s.logger, zap.String("endpoint", e.spec.ID()), zap.String("source", "its answer"))
+	}
+	e.saidLeaving, e.draining = true, true
+	s.updateSubset(s.now())
+}
+
+// IsLeaving reports whether the endpoint of an assignment is draining, has said that it
+// leaves, or is no longer registered.
+func (s *Service) IsLeaving(assignment Assignment) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return assignment.endpoint.draining || !slices.Contains(s.endpoints, assignment.endpoint)
+}
+
 // Tick restores ejected endpoints whose failures have decayed, discards a silent agent's
 // report that its endpoint accepts no requests, and assigns queued requests. It must be
 // called several times per second.
