internal/edge, pkg/sched: a replica that answers 503 with Retry-After gets a pause

Cause: the entry didn't read the header of answers; only a refusing rank of a group got 200 ms. Ruled out: the retry budget; it counts repeats, not what comes from other callers.

Such an endpoint gets no request until its pause ends. If all of them are paused for longer than a request may wait, it is rejected at once, and told to come back when the first pause ends. Pauses are limited to 10 minutes.

TestReplicaThatAsksForAPauseGetsNoRequests failed before (200 for 503, a second request within the pause). TestRequestsDontWaitForALongPause is new.

--- a/internal/edge/answers_test.go
+++ b/internal/edge/answers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,3 +52,32 @@
 		})
 	}
 }
+
+// TestReplicaThatAsksForAPauseGetsNoRequests guards against requests to a replica that has
+// answered 503 with Retry-After, before that time is over.
+func TestReplicaThatAsksForAPauseGetsNoRequests(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	var turnsAway atomic.Bool
+	turnsAway.Store(true)
+	s, paused := startRawSite(t, func(conn net.Conn, _ int, id string) bool {
+		if turnsAway.Load() {
+			fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nLentilstand-Request-Id: %s\r\nLentilstand-Not-Executed: 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n", id)
+			return true
+		}
+		writeAnswer(conn, id, "answer")
+		return true
+	})
+	began := time.Now()
+	require.Equal(t, http.StatusServiceUnavailable, s.call(0, http.MethodPost, "/book/1", "", nil).status)
+	turnsAway.Store(false)
+	for time.Since(began) < pause-200*time.Millisecond {
+		got := s.call(0, http.MethodPost, "/book/1", "", nil)
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.NotEmpty(t, got.header.Get("Retry-After"), "the caller hears when to come back")
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.Equal(t, 1, paused.requests())
+	require.Eventually(t, func() bool {
+		return s.call(0, http.MethodPost, "/book/1", "", nil).status == http.StatusOK
+	}, 2*time.Second, 50*time.Millisecond, "the pause ends")
+}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -266,6 +266,9 @@
 	if reply.Leaving {
 		r.service.RecordLeaving(assignment)
 	}
+	if reply.Pause > 0 {
+		r.service.RecordPause(assignment, reply.Pause)
+	}
 	if reply.HasLoad {
 		r.service.UpdateFromResponse(assignment, reply.Running, reply.Waiting, reply.Slots)
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -68,6 +68,7 @@
 	EndpointRemoved  = register(4006, "endpoint_removed", infoLevel, "An endpoint is no longer registered.")
 	EndpointShunned  = register(4007, "endpoint_shunned", warnLevel, "An endpoint fails requests or does not respond; it gets few requests until it serves them again.")
 	EndpointTrusted  = register(4008, "endpoint_trusted", infoLevel, "An endpoint that got few requests after failures serves requests again.")
+	EndpointPaused   = register(4009, "endpoint_paused", infoLevel, "An endpoint turned a request away and wants no more for the time `pause`.")
 	EndpointLeaving  = register(4004, "endpoint_leaving", infoLevel, "The endpoint is leaving; it gets no new requests.")
 )
 
--- a/pkg/sched/endpoint.go
+++ b/pkg/sched/endpoint.go
@@ -15,6 +15,8 @@
 	// saidLeaving is set once the endpoint itself has said that it leaves, which the store
 	// may not show yet.
 	saidLeaving bool
+	// pausedUntil is the time before which the endpoint wants no requests.
+	pausedUntil time.Time
 	// unused is set if the endpoint isn't in the entry's subset of the endpoints that take
 	// requests. It then gets no new ones.
 	unused bool
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -38,11 +38,15 @@
 }
 
 // RetryAfter returns how long a caller whose request was rejected with cause should
-// wait before it retries. During an outage that is until the outage is expected to
+// wait before it retries. That is until an endpoint takes requests again if all have asked
+// for a pause, and during an outage until the outage is expected to
 // end, with jitter, so that the callers don't all retry at once.
 func (s *Service) RetryAfter(cause error) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if pause := s.commonPause(s.now()); pause > 0 {
+		return pause + s.randomBelow(minRetryAfter)
+	}
 	if errors.Is(cause, ErrNoEndpoint) && !s.outageStart.IsZero() {
 		return max(minRetryAfter, s.expectedOutage()-s.now().Sub(s.outageStart)) + s.randomBelow(outageRetrySpread)
 	}
@@ -80,7 +84,7 @@
 }
 
 // Acquire assigns a request to an endpoint, and waits at most the request's MaxWait
-// for a free slot. It fails with ErrFull, ErrNoEndpoint, ErrQueueTimeout or the error
+// for a free slot. It fails with ErrFull, ErrNoEndpoint, ErrPaused, ErrQueueTimeout or the error
 // of ctx.
 func (s *Service) Acquire(ctx context.Context, req Request) (Assignment, error) {
 	assignment, w, err := s.Admit(req)
@@ -114,6 +118,9 @@
 	if s.isWithdrawn() {
 		return ErrNoEndpoint
 	}
+	if s.commonPause(now) > maxWait {
+		return ErrPaused
+	}
 	if verdict == pick.NoneAvailable || ahead > 0 && !s.outageStart.IsZero() {
 		expectedEnd := s.outageStart.Add(s.expectedOutage())
 		if !req.ClientRetry || s.outageStart.IsZero() || len(req.Tried) > 0 || expectedEnd.Sub(now) > maxWait {
@@ -138,6 +145,25 @@
 	})
 }
 
+// commonPause returns the time until the first endpoint takes requests again, if all that
+// the entry uses have asked for a pause, and otherwise zero. The caller must hold s.mu.
+func (s *Service) commonPause(now time.Time) time.Duration {
+	var shortest time.Duration
+	for _, e := range s.endpoints {
+		if e.unused || e.draining || s.evacuated[e.spec.DataCentre()] {
+			continue
+		}
+		left := e.pausedUntil.Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 // slotsPerEntry returns the number of all endpoints' slots divided by the number of
 // entries. The caller must hold s.mu.
 func (s *Service) slotsPerEntry() float64 {
--- a/pkg/sched/queue_test.go
+++ b/pkg/sched/queue_test.go
@@ -202,3 +202,33 @@
 	require.NoError(t, err)
 	require.Nil(t, w)
 }
+
+// TestRequestsDontWaitForALongPause guards against requests that wait in the queue though all
+// endpoints have asked for a longer pause, and against callers who come back before its end.
+func TestRequestsDontWaitForALongPause(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New("plain", "here", zap.NewNop(), WithClock(func() time.Time { return now }))
+	s.Update(endpointSpecs(2, 4, nil), false, func(string) bool { return false }, 1)
+	request := Request{MaxWait: 500 * time.Millisecond}
+	var first Assignment
+	for _, pause := range []time.Duration{2 * time.Second, 3 * time.Second} {
+		assignment, _, err := s.Admit(request)
+		require.NoError(t, err)
+		if first == (Assignment{}) {
+			first = assignment
+		}
+		s.RecordPause(assignment, pause)
+		s.Release(assignment)
+	}
+	_, waiter, err := s.Admit(request)
+	require.ErrorIs(t, err, ErrPaused)
+	require.Nil(t, waiter)
+	require.InDelta(t, 2.0, s.RetryAfter(err).Seconds(), 0.6)
+	now = now.Add(1700 * time.Millisecond)
+	_, waiter, err = s.Admit(request)
+	require.NoError(t, err)
+	require.NotNil(t, waiter, "the pause ends within its MaxWait")
+	now = now.Add(400 * time.Millisecond)
+	s.Tick()
+	require.Equal(t, first.Endpoint().ID(), (<-waiter.Assigned()).Endpoint().ID())
+}
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -78,6 +78,8 @@
 	// requests during recoveryWindow. At 0.3 and 0.4 more late requests failed than at
 	// 0.6, and at 1 no request was answered on time.
 	lateSlotShare = 0.6
+	// maxPause limits for how long an endpoint can ask for no requests.
+	maxPause = 10 * time.Minute
 	// minRetryAfter is the minimum time after which a rejected caller may retry.
 	minRetryAfter = 300 * time.Millisecond
 )
@@ -96,6 +98,9 @@
 	ErrNoEndpoint = eris.New("no endpoint takes requests")
 	// ErrQueueTimeout means that the request wasn't assigned within its MaxWait.
 	ErrQueueTimeout = eris.New("the request would begin too late")
+	// ErrPaused means that all endpoints that could take the request have asked for a
+	// pause which ends too late for it.
+	ErrPaused = eris.New("all endpoints have asked for a pause")
 )
 
 // Assignment is the assignment of a request to an endpoint. It keeps the endpoint's
@@ -316,7 +321,7 @@
 			// A host that hangs also stops its agent, and requests sent to it would run
 			// only after their callers have given up.
 			Unavailable: e.unused || e.draining || s.evacuated[e.spec.DataCentre()] || (e.notAccepting && !silent) || (silent && anyFreshReport),
-			Throttled:   limit.Rate > 0 && e.isCold(now) && e.isThrottled(now, limit, s.randomBelow),
+			Throttled:   now.Before(e.pausedUntil) || limit.Rate > 0 && e.isCold(now) && e.isThrottled(now, limit, s.randomBelow),
 			Ejected:     e.ejected,
 			Tried:       tried[e.spec.ID()],
 		}
@@ -449,6 +454,20 @@
 	s.updateSubset(s.now())
 }
 
+// RecordPause records that an endpoint has turned a request away and wants no more for the
+// given time.
+func (s *Service) RecordPause(assignment Assignment, pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := assignment.endpoint
+	until := s.now().Add(min(pause, maxPause))
+	if !until.After(e.pausedUntil) {
+		return
+	}
+	e.pausedUntil = until
+	event.EndpointPaused.Log(s.logger, zap.String("endpoint", e.spec.ID()), zap.Duration("pause", pause))
+}
+
 // IsLeaving reports whether the endpoint of an assignment is draining, has said that it
 // leaves, or is no longer registered.
 func (s *Service) IsLeaving(assignment Assignment) bool {
