internal/entry: messages that crash endpoints are blocked

The same fault on the other request path: chats that share one message with which an endpoint crashes are told from each other by path and body only, so each of them crashes endpoints.

Cause and fix as in pkg/blame; a part is a message of the chat but the last, and entries tell each other in their polls, at once after a crash. Ruled out: the records in the key-value service; they are kept by fingerprint, and none was found twice. Attempts that run at an endpoint when a part becomes blocked aren't cancelled on this path, as credits let few of them queue there.

internal/parts holds the codec and the log lines of both paths. Probers are chosen by blame.Precedes.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -12,6 +12,7 @@
 	"github.com/lentilstand/lentilstand/internal/dgram"
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/link"
+	"github.com/lentilstand/lentilstand/internal/parts"
 	"github.com/lentilstand/lentilstand/internal/wirepb"
 	"github.com/lentilstand/lentilstand/pkg/sched"
 	"github.com/lentilstand/lentilstand/pkg/store"
@@ -206,12 +207,12 @@
 // answerYoung tells a process that has just started what this entry knows about suspect
 // parts. Until it hears of them it would send them to endpoints.
 func (p *peers) answerYoung(address netip.AddrPort) {
-	parts := encodeReports(p.entry.parts.tracker.ExportAll(time.Now()))
-	if len(parts) == 0 {
+	reports := p.entry.parts.tracker.ExportAll(time.Now())
+	if len(reports) == 0 {
 		return
 	}
 	message := p.helloMessage(p.entry.storeSyncer.revision(), p.entry.storeSyncer.isWatching())
-	message.GetHello().Parts, message.GetHello().Young = parts, false
+	message.GetHello().Parts, message.GetHello().Young = parts.Encode(reports), false
 	p.entry.socket.Send(message, address)
 }
 
@@ -228,7 +229,7 @@
 		Revision: revision,
 		Suspects: p.entry.crashTracker.export(),
 		Watching: watching,
-		Parts:    encodeReports(p.entry.parts.tracker.Export(time.Now())),
+		Parts:    parts.Encode(p.entry.parts.tracker.Export(time.Now())),
 		Young:    p.isYoung(),
 	}
 	p.mu.Lock()
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/lentilstand/lentilstand/internal/parts"
 	"github.com/lentilstand/lentilstand/internal/webio"
 	"github.com/lentilstand/lentilstand/pkg/blame"
 	"github.com/lentilstand/lentilstand/pkg/mirror"
@@ -141,7 +142,7 @@
 	if r.entry.crashTracker.isBlocked(r.fingerprint) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "the request is blocked: endpoints died while running it"}
 	}
-	r.parts = partsOf(r.service.Name(), r.head.SharedParts)
+	r.parts = parts.Of(r.service.Name(), r.head.SharedParts)
 	if refusal := r.entry.parts.check(r.parts); refusal != nil {
 		return refusal
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -58,7 +58,9 @@
 	received     uint64
 	acknowledged uint64
 	headReceived bool
-	parked       atomic.Bool
+	// chunks is the number of chunks received.
+	chunks int
+	parked atomic.Bool
 }
 
 // runAttempt sends the request to the endpoint of the grant and forwards the
@@ -71,6 +73,12 @@
 	defer stop()
 	result := t.run()
 	r.recordCrash(result, g)
+	if result.endpointDied && t.chunks < settledChunks {
+		r.recordPartCrash(g)
+	}
+	if result.done && t.chunks < settledChunks {
+		r.recordPartAnswer()
+	}
 	if !result.done && !result.parked {
 		t.resolveState()
 		event.AttemptFailed.Log(r.entry.logger,
@@ -245,6 +253,9 @@
 	}
 	t.received += uint64(len(data))
 	r := t.inflight
+	if t.chunks++; t.chunks == settledChunks {
+		r.recordPartAnswer()
+	}
 	r.entry.teams.addHeldBytes(r.team.Name(), int64(len(data)))
 	err := t.writeToCaller(data)
 	r.entry.teams.addHeldBytes(r.team.Name(), -int64(len(data)))
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -80,3 +80,44 @@
 		require.True(t, strings.HasSuffix(string(answer.Body), "data: [DONE]\n\n"), "bystander %d: %s", n, answer.Body)
 	}
 }
+
+// sharedChat returns a chat of a shared message and one of its own.
+func sharedChat(shared string, n int) string {
+	return fmt.Sprintf(`{"model": "asistent", "stream": true, "max_tokens": 8, "messages": [{"role": "system", "content": %q}, {"role": "user", "content": "question %d"}]}`, shared, n)
+}
+
+// TestMessageThatCrashesEndpointsIsKeptFromOthers guards against endpoints that crash one
+// after the other on chats which share one message only.
+func TestMessageThatCrashesEndpointsIsKeptFromOthers(t *testing.T) {
+	engine := stand.DefaultEngineSpec()
+	engine.ColdCapacity = engine.Capacity
+	b := startBench(t, twoEntries(engine))
+	crashes := func() int {
+		return b.Engine("asistent-1").Counts().Crashes + b.Engine("asistent-2").Counts().Crashes
+	}
+	for _, name := range []string{"asistent-1", "asistent-2"} {
+		b.Engine(name).SetFaults(stand.EngineFaults{CrashOn: "poison"})
+	}
+	chat := func(n int, shared string) bench.Response {
+		entry := []string{"entry-1", "entry-2"}[n%2]
+		answer, err := b.Call(context.Background(), b.Entry(entry).Address(), "b", http.MethodPost, "/v1/chat/completions", sharedChat(shared, n), nil)
+		require.NoError(t, err)
+		return answer
+	}
+	for n := range 2 {
+		require.Equal(t, http.StatusOK, chat(n, "sound").Status)
+	}
+	// The entries have seen answers for long enough to block at the first crash.
+	time.Sleep(5200 * time.Millisecond)
+	var last bench.Response
+	for n := range 10 {
+		last = chat(10+n, "poison")
+		require.NotEqual(t, http.StatusOK, last.Status)
+	}
+	require.LessOrEqual(t, crashes(), 2)
+	var failure wireError
+	require.NoError(t, json.Unmarshal(last.Body, &failure))
+	require.Equal(t, "prompt_crashes_endpoints", failure.Error.Code)
+	require.NotEmpty(t, last.Header.Get("Retry-After"))
+	require.Eventually(t, func() bool { return chat(1, "sound").Status == http.StatusOK }, 5*time.Second, 50*time.Millisecond)
+}
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -283,6 +283,13 @@
 	return c.report.GetVersion()
 }
 
+// epoch returns the epoch of the endpoint's process in the agent's last report.
+func (c *agentConn) epoch() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.report.GetEpoch()
+}
+
 // load returns the endpoint's load from its last report plus the requests that
 // this entry has sent since.
 func (c *agentConn) load() route.Load { return c.loadForPrefix(0) }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -12,6 +12,7 @@
 
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/link"
+	"github.com/lentilstand/lentilstand/pkg/blame"
 	"github.com/lentilstand/lentilstand/pkg/chain"
 	"github.com/lentilstand/lentilstand/pkg/config"
 	"github.com/lentilstand/lentilstand/pkg/crash"
@@ -51,6 +52,7 @@
 	head      *config.Version
 	pending   *config.Version
 	members   []member.Member
+	parts     blame.Tracker
 	kvView    quorum.View
 	lastOlder quorum.Terms
 	revision  uint64
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -17,6 +17,7 @@
 	"github.com/lentilstand/lentilstand/internal/webio"
 	"github.com/lentilstand/lentilstand/pkg/admit"
 	"github.com/lentilstand/lentilstand/pkg/audit"
+	"github.com/lentilstand/lentilstand/pkg/blame"
 	"github.com/lentilstand/lentilstand/pkg/config"
 	"github.com/lentilstand/lentilstand/pkg/retry"
 )
@@ -33,13 +34,15 @@
 
 // inflightRequest is a request in progress.
 type inflightRequest struct {
-	entry         *Entry
-	exchange      *webio.Exchange
-	team          config.Team
-	service       config.Service
-	id            string
-	session       string
-	prefix        uint64
+	entry    *Entry
+	exchange *webio.Exchange
+	team     config.Team
+	service  config.Service
+	id       string
+	session  string
+	prefix   uint64
+	// parts holds the parts of the prompt that other requests may share.
+	parts         []blame.Part
 	target        string
 	streaming     bool
 	body          []byte
--- /dev/null
+++ b/internal/entry/parts.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilstand/lentilstand/internal/apierr"
+	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/internal/parts"
+	"github.com/lentilstand/lentilstand/pkg/blame"
+	"github.com/lentilstand/lentilstand/pkg/member"
+)
+
+// Limits of the parts of prompts.
+const (
+	// settledChunks is the number of chunks after which an attempt counts as answered: an
+	// endpoint that crashes on a part of the prompt does so as it begins.
+	settledChunks = 3
+	// maxParts limits the messages of a chat that are tracked as parts.
+	maxParts = 64
+)
+
+// sharedParts returns the messages of a chat that other requests may share: all but the
+// last.
+func (c wireChat) sharedParts(service string) []blame.Part {
+	if len(c.Messages) < 2 {
+		return nil
+	}
+	var ids []string
+	for _, message := range c.Messages[:min(len(c.Messages)-1, maxParts)] {
+		ids = append(ids, message.Role+": "+string(message.Content))
+	}
+	return parts.Of(service, ids)
+}
+
+// checkParts returns an error if a part of the request's prompt is blocked.
+func (r *inflightRequest) checkParts() *apierr.Error {
+	if len(r.parts) == 0 {
+		return nil
+	}
+	now := time.Now()
+	refused, nextProbe := r.entry.follower.parts.Check(r.parts, r.entry.follower.isProber, now)
+	if !refused {
+		return nil
+	}
+	return apierr.New(http.StatusServiceUnavailable, "prompt_crashes_endpoints",
+		"endpoints crashed on requests that share a message of this prompt",
+		apierr.WithOutcome(r.log.Outcome()), apierr.WithRetryAfter(max(shortRetryAfter, nextProbe.Sub(now))))
+}
+
+// recordPartAnswer records that the endpoint has begun to answer.
+func (r *inflightRequest) recordPartAnswer() {
+	r.entry.follower.parts.RecordAnswer(r.parts, time.Now())
+	parts.LogChanges(&r.entry.follower.parts, r.entry.logger)
+}
+
+// recordPartCrash records that the endpoint of a grant crashed before it had begun to
+// answer, and tells the other entries.
+func (r *inflightRequest) recordPartCrash(g *grant) {
+	if len(r.parts) == 0 {
+		return
+	}
+	event.PartSuspected.Log(r.entry.logger, zap.String("request", r.id), zap.String("endpoint", g.endpoint.Name()),
+		zap.String("parts", parts.Format(r.parts...)))
+	r.entry.follower.parts.RecordCrash(r.parts, g.endpoint.Name()+"@"+g.epoch, time.Now())
+	parts.LogChanges(&r.entry.follower.parts, r.entry.logger)
+	r.entry.follower.pollPeersNow()
+}
+
+// isProber reports whether this entry is the one that probes a part.
+func (f *follower) isProber(part blame.Part) bool {
+	return !slices.ContainsFunc(f.memberList(), func(m member.Member) bool {
+		return m.Voter() != f.voter && blame.Precedes(part, m.Voter(), f.voter)
+	})
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/link"
+	"github.com/lentilstand/lentilstand/internal/parts"
 	"github.com/lentilstand/lentilstand/internal/wirepb"
 	"github.com/lentilstand/lentilstand/pkg/chain"
 	"github.com/lentilstand/lentilstand/pkg/config"
@@ -161,6 +162,7 @@
 	ask := &wirepb.PeerAsk{
 		HeadTerm:    terms.Head(),
 		PendingTerm: terms.Pending(),
+		Parts:       parts.Encode(f.parts.ExportAll(time.Now())),
 	}
 	if f.head != nil {
 		ask.Number = f.head.Number()
@@ -253,6 +255,8 @@
 			event.FrameRefused.Log(e.logger, zap.String("peer", session.RemoteAddress()))
 			return
 		}
+		e.follower.parts.Merge(parts.Decode(ask.GetParts()), time.Now())
+		parts.LogChanges(&e.follower.parts, e.logger)
 		state := e.follower.peerState(ask)
 		if message == first {
 			state.Voter = e.follower.voter
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -52,7 +52,9 @@
 	credit      uint64
 	version     uint64
 	exclusive   bool
-	trace       audit.Attempt
+	// epoch identifies the endpoint's process as of the agent's last report.
+	epoch string
+	trace audit.Attempt
 }
 
 // release returns an unused credit.
@@ -96,6 +98,9 @@
 	if state == crash.Blocked {
 		return nil, r.blockedError()
 	}
+	if refusal := r.checkParts(); refusal != nil {
+		return nil, refusal
+	}
 	rules := r.entry.follower.currentRules()
 	usable := rules.UsableEndpoints(r.service.Name())
 	loads := r.entry.agents.loads(usable, r.entry.hosts, r.prefix)
@@ -242,6 +247,7 @@
 		credit:      granted.GetCredit(),
 		version:     reserve.GetVersion(),
 		exclusive:   reserve.GetAlone(),
+		epoch:       c.epoch(),
 	}, nil
 }
 
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -241,6 +241,7 @@
 	if prompt := chat.prompt(); prompt != "" {
 		r.prefix = hints.HashPrefix(prompt)
 	}
+	r.parts = chat.sharedParts(service.Name())
 	if r.session == "" {
 		r.session = chat.sessionDigest()
 	}
--- a/pkg/blame/tracker.go
+++ b/pkg/blame/tracker.go
@@ -56,6 +56,14 @@
 	return Part(digest.Sum64())
 }
 
+// Precedes reports whether the entry named a is to probe a part rather than the one named
+// b. Entries that know the same names agree on one of them, and parts are spread over
+// the entries.
+func Precedes(part Part, a, b string) bool {
+	hash := func(name string) uint64 { return uint64(part) ^ xxhash.Sum64String(name) }
+	return hash(a) < hash(b)
+}
+
 // Tracker records crashes and answers, and decides which parts are blocked. The zero
 // value is ready to use. It is safe for concurrent use.
 type Tracker struct {
