pkg/blame: any entry may probe a blocked part if those before it don't

A part that was blocked without need stayed blocked until the one entry that probes it got a request with it: in a large fleet, for most of an hour.

Cause: only the first entry by hash probed. Ruled out: probes by all entries at once; each may cost a crash.

Also: a queued request is checked in checkQueued, formatting.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -72,10 +72,7 @@
 	dials := 0
 	var errorResponse *bufferedResponse
 	forwarder := &streamForwarder{request: r}
-	for {
-		if r.sendCount > 0 && e.parts.isBlocked(r.parts) {
-			break
-		}
+	for r.sendCount == 0 || !e.parts.isBlocked(r.parts) {
 		if r.sendCount > 0 && !e.budget.takeRetry(r.service.Name(), time.Now(), limits) {
 			event.RetryDenied.Log(e.logger, zap.String("request", r.head.ID), zap.String("service", r.service.Name()))
 			break
@@ -91,15 +88,13 @@
 			}
 			break
 		}
-		if e.parts.isBlocked(r.parts) {
-			if refusal := e.parts.check(r.parts); refusal != nil {
-				r.service.Release(assignment)
-				if r.mayHaveRun {
-					break
-				}
-				r.refuse(refusal)
-				return
+		if refusal := e.parts.checkQueued(r.parts); refusal != nil {
+			r.service.Release(assignment)
+			if r.mayHaveRun {
+				break
 			}
+			r.refuse(refusal)
+			return
 		}
 		r.tried[assignment.Endpoint().ID()] = true
 		at := time.Since(r.receivedAt)
--- a/internal/edge/parts.go
+++ b/internal/edge/parts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,7 +13,6 @@
 	"github.com/lentilstand/lentilstand/internal/wirepb"
 	"github.com/lentilstand/lentilstand/pkg/blame"
 	"github.com/lentilstand/lentilstand/pkg/sched"
-	"github.com/lentilstand/lentilstand/pkg/table"
 )
 
 // settledEvents is the number of events after which an attempt at a stream counts as
@@ -38,7 +36,7 @@
 		return nil
 	}
 	now := time.Now()
-	refused, nextProbe := g.tracker.Check(shared, g.isProber, now)
+	refused, nextProbe := g.tracker.Check(shared, g.probeRank, now)
 	if !refused {
 		return nil
 	}
@@ -48,17 +46,26 @@
 	}
 }
 
+// checkQueued is check for a request that has passed it before it was queued.
+func (g *partGuard) checkQueued(shared []blame.Part) *refusal {
+	if !g.isBlocked(shared) {
+		return nil
+	}
+	return g.check(shared)
+}
+
 // isBlocked reports whether an attempt with the shared parts must be cancelled.
 func (g *partGuard) isBlocked(shared []blame.Part) bool {
 	return len(shared) > 0 && g.tracker.IsBlocked(shared, time.Now())
 }
 
-// isProber reports whether this entry is the one that probes a part.
-func (g *partGuard) isProber(part blame.Part) bool {
-	own := g.entry.settings.Load().Name()
-	return !slices.ContainsFunc(g.entry.view.Load().Members(), func(member table.Member) bool {
-		return member.Name() != own && blame.Precedes(part, member.Name(), own)
-	})
+// probeRank returns this entry's position among those that may probe a part.
+func (g *partGuard) probeRank(part blame.Part) int {
+	var names []string
+	for _, member := range g.entry.view.Load().Members() {
+		names = append(names, member.Name())
+	}
+	return blame.ProbeRank(part, g.entry.settings.Load().Name(), names...)
 }
 
 // recordAnswer records that an endpoint answers the request.
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,7 +10,6 @@
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/parts"
 	"github.com/lentilstand/lentilstand/pkg/blame"
-	"github.com/lentilstand/lentilstand/pkg/member"
 )
 
 // Limits of the parts of prompts.
@@ -42,7 +40,7 @@
 		return nil
 	}
 	now := time.Now()
-	refused, nextProbe := r.entry.follower.parts.Check(r.parts, r.entry.follower.isProber, now)
+	refused, nextProbe := r.entry.follower.parts.Check(r.parts, r.entry.follower.probeRank, now)
 	if !refused {
 		return nil
 	}
@@ -70,9 +68,11 @@
 	r.entry.follower.pollPeersNow()
 }
 
-// isProber reports whether this entry is the one that probes a part.
-func (f *follower) isProber(part blame.Part) bool {
-	return !slices.ContainsFunc(f.memberList(), func(m member.Member) bool {
-		return m.Voter() != f.voter && blame.Precedes(part, m.Voter(), f.voter)
-	})
+// probeRank returns this entry's position among those that may probe a part.
+func (f *follower) probeRank(part blame.Part) int {
+	var voters []string
+	for _, m := range f.memberList() {
+		voters = append(voters, m.Voter())
+	}
+	return blame.ProbeRank(part, f.voter, voters...)
 }
--- a/pkg/blame/doc.go
+++ b/pkg/blame/doc.go
@@ -10,5 +10,6 @@
 //
 // Entries exchange reports on suspect parts, so that each of them decides by the crashes
 // and the answers that all have seen. A blocked part is probed: after a while, which
-// doubles with each further crash, one entry lets one request with it through.
+// doubles with each further crash, one entry lets one request with it through, and the
+// next entry if that gets none.
 package blame
--- a/pkg/blame/tracker.go
+++ b/pkg/blame/tracker.go
@@ -1,6 +1,7 @@
 package blame
 
 import (
+	"encoding/binary"
 	"slices"
 	"sync"
 	"time"
@@ -56,12 +57,20 @@
 	return Part(digest.Sum64())
 }
 
-// Precedes reports whether the entry named a is to probe a part rather than the one named
-// b. Entries that know the same names agree on one of them, and parts are spread over
-// the entries.
-func Precedes(part Part, a, b string) bool {
-	hash := func(name string) uint64 { return uint64(part) ^ xxhash.Sum64String(name) }
-	return hash(a) < hash(b)
+// ProbeRank returns the position of the entry named own among the entries that may probe a
+// part. Entries that know the same names have different positions, and parts have
+// different first entries.
+func ProbeRank(part Part, own string, others ...string) int {
+	hash := func(name string) uint64 {
+		return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(name), uint64(part)))
+	}
+	rank := 0
+	for _, name := range others {
+		if name != own && hash(name) < hash(own) {
+			rank++
+		}
+	}
+	return rank
 }
 
 // Tracker records crashes and answers, and decides which parts are blocked. The zero
@@ -208,9 +217,10 @@
 }
 
 // Check returns whether a request with the parts must be refused because one of them is
-// blocked, and when the part will be probed next. If a probe is due and isProber returns
-// true for the part, the request is the probe.
-func (t *Tracker) Check(parts []Part, isProber func(Part) bool, now time.Time) (refused bool, nextProbe time.Time) {
+// blocked, and when this entry probes it next. The request is the probe if one is due. The
+// rank is the entry's ProbeRank: each entry waits probeTimeout longer than the one before,
+// as that may get no request with the part.
+func (t *Tracker) Check(parts []Part, rank func(Part) int, now time.Time) (refused bool, nextProbe time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.suspects) == 0 {
@@ -218,7 +228,7 @@
 	}
 	blocked := t.blockedAmong(parts, now)
 	for _, part := range blocked {
-		if due := t.probeDue(part); now.Before(due) || !isProber(part) {
+		if due := t.probeDue(part).Add(time.Duration(rank(part)) * probeTimeout); now.Before(due) {
 			refused = true
 			nextProbe = laterOf(nextProbe, due)
 		}
@@ -244,8 +254,8 @@
 	})
 }
 
-// probeDue returns when the next probe of a blocked part may be sent. The caller holds
-// t.mu.
+// probeDue returns when the first entry may send the next probe of a blocked part. The
+// caller holds t.mu.
 func (t *Tracker) probeDue(part Part) time.Time {
 	s := t.suspects[part]
 	answered, proven := t.answers.last(part)
