--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -89,6 +89,8 @@
 		{name: "second response to the same request", path: "/book/1", fault: fakes.ExtraResponse, status: 200, runs: 1},
 		{name: "success without a seal header", path: "/book/1", fault: fakes.OmitSeal, status: 502, runs: 1},
 		{name: "body delimited by the end of the connection", path: "/book/1", fault: fakes.OmitLength, status: 200, runs: 1, body: "unframed"},
+		{name: "stream that ends with its connection", path: "/draft/1", stream: true, fault: fakes.OmitChunks, status: 200, runs: 1},
+		{name: "stream that ends with its connection inside an event", path: "/draft/1", stream: true, fault: fakes.TruncateUnframed, status: 200, runs: 2},
 		{name: "stream resumed at another replica", path: "/draft/1", stream: true, fault: fakes.TruncateEvent, status: 200, runs: 2},
 	}
 	for _, tc := range testCases {
