internal/edge: attempts that may not repeat are cancelled for a blocked part too

Replicas could crash on streams that can't be resumed and that they had queued when the part became blocked.

Cause: only repeatable requests had the goroutine that looks. Ruled out: the silence timeout; it still applies to repeatable requests only. The function has a name for both, guardAttempt.

TestAttemptsWithAPartThatBecomesBlockedAreCancelled, case /once/1, failed before (the attempt went on for 1 s).

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -215,7 +215,7 @@
 // at another endpoint may succeed. The last result describes the outcome in the request log.
 func (r *request) send(ctx context.Context, assignment sched.Assignment, forwarder *streamForwarder) (attemptResult, *bufferedResponse, string) {
 	r.answered.Store(false)
-	ctx, progress, stop := r.withSilenceTimeout(ctx, assignment)
+	ctx, progress, stop := r.guardAttempt(ctx, assignment)
 	defer stop()
 	result, response, detail := r.sendOnce(ctx, assignment, forwarder, progress)
 	if cause := context.Cause(ctx); result == failed && (errors.Is(cause, errSilent) || errors.Is(cause, errPartBlocked)) {
@@ -224,7 +224,7 @@
 	return result, response, detail
 }
 
-// sendOnce is send without the silence timeout; it calls progress for each event of
+// sendOnce is send without guardAttempt; it calls progress for each event of
 // a stream, and whenever a part of another response arrives.
 func (r *request) sendOnce(ctx context.Context, assignment sched.Assignment, forwarder *streamForwarder, progress func()) (attemptResult, *bufferedResponse, string) {
 	lastEvent := r.head.LastEvent
--- a/internal/edge/guard.go
+++ b/internal/edge/guard.go
@@ -33,12 +33,13 @@
 		r.service.HasCapacity(sched.Request{Resuming: true, Tried: r.tried})
 }
 
-// withSilenceTimeout returns a context that is cancelled with errSilent when the
-// endpoint and its agent fall silent and the request can be retried elsewhere.
+// guardAttempt returns a context that is cancelled with errSilent when the
+// endpoint and its agent fall silent and the request can be retried elsewhere, and with
+// errPartBlocked when a part of its prompt becomes blocked before it is answered.
 // Progress must be called whenever the endpoint has sent something, and stop at the end
 // of the attempt. A request that is not repeatable has no silence timeout.
-func (r *request) withSilenceTimeout(ctx context.Context, assignment sched.Assignment) (guarded context.Context, progress, stop func()) {
-	if !r.route.Repeatable() {
+func (r *request) guardAttempt(ctx context.Context, assignment sched.Assignment) (guarded context.Context, progress, stop func()) {
+	if !r.route.Repeatable() && len(r.parts) == 0 {
 		return ctx, func() {}, func() {}
 	}
 	guarded, cancel := context.WithCancelCause(ctx)
@@ -60,7 +61,7 @@
 				cancel(errPartBlocked)
 				return
 			}
-			if time.Since(time.Unix(0, lastProgress.Load())) > silenceTimeout && r.service.IsAgentSilent(assignment) && r.canRetryElsewhere() {
+			if r.route.Repeatable() && time.Since(time.Unix(0, lastProgress.Load())) > silenceTimeout && r.service.IsAgentSilent(assignment) && r.canRetryElsewhere() {
 				cancel(errSilent)
 				return
 			}
--- a/internal/edge/guard_test.go
+++ b/internal/edge/guard_test.go
@@ -92,7 +92,7 @@
 				tried: map[string]bool{assignment.Endpoint().ID(): true},
 				route: table.NewRoute(table.RouteSpec{Name: "r", Semantics: table.Stream, Resumable: tc.resume, MaxAttempts: tc.attempts}),
 			}
-			ctx, _, stop := r.withSilenceTimeout(context.Background(), assignment)
+			ctx, _, stop := r.guardAttempt(context.Background(), assignment)
 			defer stop()
 			select {
 			case <-ctx.Done():
--- a/internal/edge/parts_test.go
+++ b/internal/edge/parts_test.go
@@ -77,13 +77,19 @@
 // TestAttemptsWithAPartThatBecomesBlockedAreCancelled guards against replicas that crash on
 // requests which they had queued when the first one crashed.
 func TestAttemptsWithAPartThatBecomesBlockedAreCancelled(t *testing.T) {
+	for _, path := range []string{"/draft/1", "/once/1"} {
+		t.Run(path, func(t *testing.T) { requireQueuedAttemptIsCancelled(t, path) })
+	}
+}
+
+func requireQueuedAttemptIsCancelled(t *testing.T, path string) {
 	s := startPromptSite(t)
 	for _, r := range s.replicas {
 		r.SetDeadlyPart("")
 	}
 	s.script.Add(fakes.NoResponse)
 	queued := make(chan response, 1)
-	go func() { queued <- s.call(0, http.MethodPost, "/draft/1", "", prompt(10, "a0:40,dead01:100")) }()
+	go func() { queued <- s.call(0, http.MethodPost, path, "", prompt(10, "a0:40,dead01:100")) }()
 	time.Sleep(200 * time.Millisecond)
 	for _, r := range s.replicas {
 		r.SetDeadlyPart("dead01")
