--- a/internal/edge/parts_test.go
+++ b/internal/edge/parts_test.go
@@ -69,6 +69,12 @@
 		require.Less(t, time.Since(began), 300*time.Millisecond, "it is refused at once")
 	}
 	require.Equal(t, crashed, s.received()-before)
+	s.startEntry("entry-3")
+	s.waitReady(2)
+	time.Sleep(500 * time.Millisecond)
+	require.Equal(t, http.StatusServiceUnavailable, s.call(2, http.MethodPost, "/draft/1", "", prompt(45, "a0:40,dead01:100")).status,
+		"an entry that has just started has asked the others")
+	require.Equal(t, crashed, s.received()-before)
 	for n := range 10 {
 		require.Equal(t, http.StatusOK, s.call(n%2, http.MethodPost, "/draft/1", "", prompt(50+n, "a0:40")).status, "the other part is sound")
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -28,9 +28,9 @@
 	helloFanout = 8
 	// subscribePeriod is how often subscriptions at agents are renewed.
 	subscribePeriod = time.Second
-	// youngPeriod is how long after its start a process asks for reports on suspect parts
+	// startupPeriod is how long after its start a process asks for reports on suspect parts
 	// with each of its hellos.
-	youngPeriod = 2 * time.Second
+	startupPeriod = 2 * time.Second
 	// agentListSenders is the expected number of entries that send an agent the list
 	// of all agents in one round, until the agent has it. If all entries sent it, a large
 	// fleet would flood agents that start.
@@ -204,23 +204,23 @@
 	}
 }
 
-// answerYoung tells a process that has just started what this entry knows about suspect
-// parts. Until it hears of them it would send them to endpoints.
-func (p *peers) answerYoung(address netip.AddrPort) {
+// sendSuspects sends all that this entry knows about suspect parts to an entry that has
+// just started, and that would send requests with them to endpoints until it hears of them.
+func (p *peers) sendSuspects(address netip.AddrPort) {
 	reports := p.entry.parts.tracker.ExportAll(time.Now())
 	if len(reports) == 0 {
 		return
 	}
 	message := p.helloMessage(p.entry.storeSyncer.revision(), p.entry.storeSyncer.isWatching())
-	message.GetHello().Parts, message.GetHello().Young = parts.Encode(reports), false
+	message.GetHello().Parts, message.GetHello().Starting = parts.Encode(reports), false
 	p.entry.socket.Send(message, address)
 }
 
-// isYoung reports whether this process has started within youngPeriod.
-func (p *peers) isYoung() bool {
+// isStarting reports whether this process has started within startupPeriod.
+func (p *peers) isStarting() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Since(p.startedAt) < youngPeriod
+	return time.Since(p.startedAt) < startupPeriod
 }
 
 func (p *peers) helloMessage(revision uint64, watching bool) *wirepb.Datagram {
@@ -230,7 +230,7 @@
 		Suspects: p.entry.crashTracker.export(),
 		Watching: watching,
 		Parts:    parts.Encode(p.entry.parts.tracker.Export(time.Now())),
-		Young:    p.isYoung(),
+		Starting: p.isStarting(),
 	}
 	p.mu.Lock()
 	p.relay.writeTo(hello, time.Now())
@@ -361,8 +361,8 @@
 func (p *peers) receiveHello(from netip.AddrPort, hello *wirepb.Hello) {
 	p.entry.crashTracker.merge(hello.GetSuspects())
 	p.entry.parts.merge(hello.GetParts())
-	if hello.GetYoung() {
-		p.answerYoung(from)
+	if hello.GetStarting() {
+		p.sendSuspects(from)
 	}
 	known := p.entry.storeSyncer.revision()
 	if hello.GetWatching() {
--- a/pkg/blame/blame_test.go
+++ b/pkg/blame/blame_test.go
@@ -201,9 +201,9 @@
 		require.False(t, h.passes(false, deadly), name)
 		require.True(t, h.passes(false, rare), name)
 	}
-	young := &history{now: a.now}
-	young.tracker.Merge(a.tracker.ExportAll(a.now), young.now)
-	require.False(t, young.passes(false, deadly), "an entry that has just started relies on the others")
+	starting := &history{now: a.now}
+	starting.tracker.Merge(a.tracker.ExportAll(a.now), starting.now)
+	require.False(t, starting.passes(false, deadly), "an entry that has just started relies on the others")
 }
 
 // TestTrackerIsBounded guards against memory that grows with the number of parts.
