--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -271,8 +271,8 @@
 
 // Send sends a request to the endpoint at address and returns its response once the
 // head has arrived. The connection is closed when ctx ends; nothing is sent if it has
-// ended already. Matches reports whether a
-// response belongs to the request; responses to other requests are skipped.
+// ended already. Matches reports whether a response belongs to the request; responses to
+// other requests are skipped.
 func (p *Pool) Send(ctx context.Context, address netip.AddrPort, request Request, matches func(status int, header http.Header) bool) (*Response, error) {
 	c := p.takeIdle(address)
 	if c == nil {
