pkg/group, internal/rank: logs of switches have the duration of each phase

A switch that takes long and a group that is held can't be told apart from the lines of switch_planned and switch_done alone. switch_done (7006) and switch_abandoned (7007) now have the durations of the phases that the switch went through.

--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -1,6 +1,7 @@
 package rank
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -352,9 +353,9 @@
 	orders, outcome := l.machine.Step(l.views, now)
 	switch outcome {
 	case group.Done:
-		event.SwitchDone.Log(a.logger, zap.Uint64("version", version), zap.Uint64("pass", l.views[0].Pass))
+		event.SwitchDone.Log(a.logger, zap.Uint64("version", version), zap.Uint64("pass", l.views[0].Pass), phaseTimes(l.machine.Times()))
 	case group.Abandoned:
-		event.SwitchAbandoned.Log(a.logger, zap.Uint64("version", version), zap.Stringer("phase", phase))
+		event.SwitchAbandoned.Log(a.logger, zap.Uint64("version", version), zap.Stringer("phase", phase), phaseTimes(l.machine.Times()))
 	}
 	if after := l.machine.Phase(); phase == group.Idle && after != group.Idle {
 		event.HoldResolved.Log(a.logger, zap.Uint64("version", l.machine.Version()), zap.Stringer("phase", after))
@@ -371,6 +372,18 @@
 	}
 }
 
+// phaseTimes returns a log field with the durations of the phases of a switch, without
+// those that it didn't reach.
+func phaseTimes(times group.Times) zap.Field {
+	var list []string
+	for phase, span := range times {
+		if span > 0 {
+			list = append(list, fmt.Sprintf("%v %dms", group.Phase(phase), span.Milliseconds()))
+		}
+	}
+	return zap.Strings("phases", list)
+}
+
 // encodePlan encodes all lists of a map to be prepared, set by set.
 func encodePlan(plan [][][]int) []uint32 {
 	var experts []uint32
--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -130,6 +130,8 @@
 	// switchPass is the first pass with the new map.
 	switchPass uint64
 	phaseStart time.Time
+	// times has the durations of the phases of the current or last switch.
+	times Times
 	// lossy is set after a switch that timed out, was fenced or took long to arm, as
 	// when orders get lost. It is cleared after a switch that was armed quickly.
 	lossy bool
@@ -208,10 +210,21 @@
 func (l *Leader) Reset() { l.phase, l.startedAt = Idle, time.Time{} }
 
 func (l *Leader) enterPhase(phase Phase, now time.Time) {
+	if l.phase == Idle {
+		l.times = Times{}
+	} else {
+		l.times[l.phase] += now.Sub(l.phaseStart)
+	}
 	l.phase = phase
 	l.phaseStart = now
 }
 
+// Times has the duration of each phase of a switch, by phase.
+type Times [Fencing + 1]time.Duration
+
+// Times returns the durations of the completed phases of the current or last switch.
+func (l *Leader) Times() Times { return l.times }
+
 // allReported reports whether all ranks have reported recently, in the same epoch
 // and with the group open.
 func (l *Leader) allReported(views []View, now time.Time) bool {
@@ -309,7 +322,8 @@
 	}
 	if len(orders) > 0 {
 		if now.Sub(l.phaseStart) > prepareTimeout {
-			l.phase, l.lossy = Idle, true
+			l.lossy = true
+			l.enterPhase(Idle, now)
 			return nil, Abandoned
 		}
 		return orders, Pending
@@ -342,7 +356,8 @@
 	}
 	if newestPass(views) >= l.switchPass || now.Sub(l.phaseStart) > holdTimeout {
 		// Nothing is armed. A Hold that arrives after its pass has begun is refused.
-		l.phase, l.lossy = Idle, true
+		l.lossy = true
+		l.enterPhase(Idle, now)
 		return nil, Abandoned
 	}
 	return []Order{l.newOrder(l.holderRank, Hold, 0, l.switchPass)}, Pending
@@ -407,10 +422,10 @@
 		if view.Held || now.Sub(l.phaseStart) > settleTimeout {
 			// A group without requests runs no passes. resolve finds later what is
 			// still held or armed.
-			l.phase = Idle
+			l.enterPhase(Idle, now)
 		}
 		return nil, Pending
 	}
-	l.phase = Idle
+	l.enterPhase(Idle, now)
 	return nil, Done
 }
--- a/pkg/group/resolve.go
+++ b/pkg/group/resolve.go
@@ -90,7 +90,8 @@
 	if len(orders) > 0 {
 		return orders, Pending
 	}
-	l.phase, l.missingRank = Idle, -1
+	l.missingRank = -1
+	l.enterPhase(Idle, now)
 	return nil, Abandoned
 }
 
