pkg/group: a switch goes on without a host that is suspended

Callers saw all streams of a group stand still as long as one host did: once ranks were being armed, the group was held until that host was back. Requests that entries had moved away from it in time were abandoned all the same, and the runs on the suspended host outlasted their callers (GONE).

Cause: nobody could tell whether the rank on the silent host was armed. The leader's own rank was armed last, so that it was unknown whenever the others were armed; and any other silent rank stopped the leader in every phase.

Change: the rank that holds the pass is armed first, the leader's own rank (the pivot) second, the others last, so that the ranks that still report show whether the pivot is armed. A leader goes on without a silent rank that has reported to be armed, or that it hasn't ordered to arm. It first orders ranks to arm after a fresh report. Only from the order to the report of one rank does the group have to wait for its host. Reports are used for 250 ms instead of 350, so that another leader acts after 0.3 s instead of 0.4 s.

A fence disarms in the reverse order, and only after the ranks that aren't armed have prepared its version.

Ruled out: arming the pivot first of all.

--- a/internal/rank/direct.go
+++ b/internal/rank/direct.go
@@ -75,7 +75,7 @@
 // holds the lock.
 func (l *leader) sendDirectly(agent netip.AddrPort, order *wirepb.RankOrder, force bool, now time.Time) bool {
 	direct := l.directRanks[agent]
-	if direct == nil || (!force && l.isReporting(agent, now)) {
+	if direct == nil || (!force && l.isReporting(agent, now)) || order.GetKind() == wirepb.RankOrder_KIND_REPORT {
 		return false
 	}
 	a := l.agent
--- a/internal/rank/orders.go
+++ b/internal/rank/orders.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/event"
@@ -85,6 +86,10 @@
 	if order.GetGroup() != a.state.Group || a.orders.ctx == nil {
 		return
 	}
+	if order.GetKind() == wirepb.RankOrder_KIND_REPORT {
+		go a.report(a.orders.ctx)
+		return
+	}
 	a.orders.receivedAt = currentInstant()
 	if sameOrder(a.orders.current, order) && a.orders.running {
 		return
@@ -101,6 +106,12 @@
 	}
 }
 
+// report reads the rank's state and reports it to the leader.
+func (a *Agent) report(ctx context.Context) {
+	a.pollRank(ctx)
+	a.sendReport(ctx, skipCounts)
+}
+
 // activeOrder returns the current order if it is still valid and not achieved.
 // Otherwise it returns nil and clears running, since runOrders then ends.
 func (a *Agent) activeOrder() *wirepb.RankOrder {
@@ -164,8 +175,7 @@
 				answered = order
 			}
 		}
-		a.pollRank(ctx)
-		a.sendReport(ctx, skipCounts)
+		a.report(ctx)
 	}
 }
 
@@ -213,8 +223,10 @@
 		return rank.Disarm(ctx, order.GetEpoch(), order.GetVersion())
 	case wirepb.RankOrder_KIND_HOLD:
 		return rank.Hold(ctx, order.GetEpoch(), order.GetPass())
-	default:
+	case wirepb.RankOrder_KIND_RELEASE:
 		return rank.Release(ctx, order.GetEpoch(), order.GetPass())
+	default:
+		return eris.Wrapf(platform.ErrOrderRejected, "ranks know no orders of kind %v", order.GetKind())
 	}
 }
 
--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -35,6 +35,8 @@
 	Disarm
 	Hold
 	Release
+	// Report asks for a report of the rank's state and changes nothing.
+	Report
 )
 
 // Order requests an operation of one rank. Step returns it again until the rank's
@@ -70,7 +72,10 @@
 const (
 	// maxReportAge is the age up to which decisions may rely on a report. Agents
 	// report every 100 ms.
-	maxReportAge = 350 * time.Millisecond
+	maxReportAge = 250 * time.Millisecond
+	// freshReportAge, with leadTimePerRank for each rank, is the age up to which a report
+	// shows that a rank's host is running.
+	freshReportAge = 90 * time.Millisecond
 	// takeoverDelay is how long a new leader only receives reports. After that, the
 	// reports that the previous leader has received are too old for it to act on.
 	takeoverDelay = maxReportAge + 50*time.Millisecond
@@ -120,7 +125,7 @@
 type Leader struct {
 	size    int
 	ownRank int
-	// holderRank is the rank that holds the pass of the switch.
+	// holderRank is the rank that holds or is to hold the pass of the switch.
 	holderRank int
 	phase      Phase
 	epoch      uint64
@@ -140,8 +145,14 @@
 	startedAt time.Time
 	// passTime is the measured duration of a pass, zero if unknown.
 	passTime time.Duration
-	// missingRank is the unreachable rank that a fence does without, -1 if none.
-	missingRank int
+	// missingRank is the unreachable rank that the switch goes on without, -1 if none.
+	// Its rank is known to be armed if missingArmed is set, and known not to be
+	// otherwise.
+	missingRank  int
+	missingArmed bool
+	// armOrdered has the ranks that were ordered to arm the version being switched to.
+	// It is nil for a switch that another leader began, whose orders are unknown.
+	armOrdered  map[int]bool
 	nextVersion func(above uint64) uint64
 }
 
@@ -149,17 +160,39 @@
 // rank own. The function next returns a version above the given one that no other
 // leader chooses.
 //
-// A leader holds passes at the rank after its own. The rank before the holding one
-// is always armed last, whichever agent leads by then. If the leader's host fails,
-// another leader can therefore still release the hold, and can conclude that the
-// failed host's rank is armed only if all others are.
+// A leader holds passes at the rank after its own, so that another leader can release
+// the hold if the leader's host fails. See armStage for how that leader finds out whether
+// the failed host's rank is armed.
 func NewLeader(size, own int, next func(above uint64) uint64) *Leader {
 	return &Leader{size: size, ownRank: own, holderRank: (own + 1) % size, missingRank: -1, nextVersion: next}
 }
 
-// lastToArm returns the rank that is armed after all others when rank holder
-// holds the pass.
-func (l *Leader) lastToArm(holder int) int { return (holder + l.size - 1) % l.size }
+// pivot returns the rank before the one that holds a pass. Normally it is the rank on
+// the host of the leader that had the pass held.
+func (l *Leader) pivot(holder int) int { return (holder + l.size - 1) % l.size }
+
+// The stages in which ranks are armed. A fence disarms them in the reverse order.
+const (
+	holderStage = iota
+	pivotStage
+	otherStage
+)
+
+// armStage returns the stage in which a rank is armed: the rank that holds the pass
+// first, then its pivot, then all others. Each stage begins when the one before it is
+// reported to be complete. The pivot is therefore not armed if the holder isn't, and it
+// is armed if one of the others is. Only between these two reports can nobody but the
+// pivot's own host tell.
+func (l *Leader) armStage(rank int) int {
+	switch rank {
+	case l.holderRank:
+		return holderStage
+	case l.pivot(l.holderRank):
+		return pivotStage
+	default:
+		return otherStage
+	}
+}
 
 // SetPassTime sets the measured duration of a pass.
 func (l *Leader) SetPassTime(span time.Duration) { l.passTime = span }
@@ -184,6 +217,7 @@
 // have returned true for the same arguments.
 func (l *Leader) Begin(views []View, now time.Time) uint64 {
 	l.epoch, l.missingRank = views[0].Epoch, -1
+	l.armOrdered = make(map[int]bool)
 	l.holderRank = (l.ownRank + 1) % l.size
 	l.version = l.nextVersion(highestVersion(views))
 	l.enterPhase(Preparing, now)
@@ -207,7 +241,10 @@
 // Reset drops the current switch. It is called after the process was suspended,
 // when the views may be outdated. Step later finds and resolves what is still held
 // or armed.
-func (l *Leader) Reset() { l.phase, l.startedAt = Idle, time.Time{} }
+func (l *Leader) Reset() {
+	l.phase, l.startedAt = Idle, time.Time{}
+	l.missingRank, l.armOrdered = -1, nil
+}
 
 func (l *Leader) enterPhase(phase Phase, now time.Time) {
 	if l.phase == Idle {
@@ -271,14 +308,20 @@
 		l.phase = Idle
 		return nil, Abandoned
 	}
-	if holder, held := findHolder(views); l.phase == Idle && held && l.allReportedExcept(l.lastToArm(holder), views, now) {
-		return l.resolveWithoutRank(l.lastToArm(holder), views, now)
-	}
-	if l.phase == Fencing && l.missingRank >= 0 && l.allReportedExcept(l.missingRank, views, now) {
-		return l.fence(views, now)
+	if holder, held := findHolder(views); l.phase == Idle && held && l.allReportedExcept(l.pivot(holder), views, now) {
+		return l.resolveWithoutPivot(holder, views, now)
 	}
 	if !l.allReported(views, now) {
-		return nil, Pending
+		silent, found := l.findSilent(views, now)
+		if !found {
+			// This leader may be cut off, and another one may take its place.
+			l.armOrdered = nil
+		}
+		if !found || silent != l.missingRank && !l.omit(silent, views, now) {
+			return nil, Pending
+		}
+	} else {
+		l.missingRank = -1
 	}
 	switch l.phase {
 	case Preparing:
@@ -363,38 +406,65 @@
 	return []Order{l.newOrder(l.holderRank, Hold, 0, l.switchPass)}, Pending
 }
 
-// arm orders all ranks to arm the map, and releases the pass once all are reported
-// armed.
-func (l *Leader) arm(views []View, now time.Time) ([]Order, Outcome) {
-	var orders []Order
-	last, lastDue := l.ownRank, false
-	if holder, held := findHolder(views); held {
-		last = l.lastToArm(holder)
+// isArmed reports whether a rank is armed for the switch.
+func (l *Leader) isArmed(rank int, view View) bool {
+	if rank == l.missingRank {
+		return l.missingArmed
 	}
+	return view.Armed == l.version && view.ArmedPass == l.switchPass
+}
+
+// arm orders the ranks to arm the map, stage by stage, and releases the pass once all
+// are reported armed.
+func (l *Leader) arm(views []View, now time.Time) ([]Order, Outcome) {
+	stage, due := otherStage, []int(nil)
 	for rank, view := range views {
-		switch {
-		case view.Armed == l.version && view.ArmedPass == l.switchPass:
-		case view.Prepared != l.version:
+		if l.isArmed(rank, view) {
+			continue
+		}
+		if view.Prepared != l.version && l.canFence() {
 			// Another leader has had the rank prepare another version.
 			return l.beginFence(views, now)
-		case rank == last:
-			lastDue = true
-		default:
-			orders = append(orders, l.newOrder(rank, Arm, l.version, l.switchPass))
+		}
+		if rankStage := l.armStage(rank); rankStage < stage {
+			due, stage = []int{rank}, rankStage
+		} else if rankStage == stage {
+			due = append(due, rank)
 		}
 	}
-	if lastDue && len(orders) == 0 {
-		orders = append(orders, l.newOrder(last, Arm, l.version, l.switchPass))
-	}
-	if len(orders) == 0 {
-		l.lossy = now.Sub(l.phaseStart) > armTimeout/4
+	if len(due) == 0 {
+		l.lossy = now.Sub(l.phaseStart) > armTimeout*3/8
 		l.enterPhase(Releasing, now)
 		return l.release(views, now)
 	}
-	if now.Sub(l.phaseStart) > armTimeout {
+	if now.Sub(l.phaseStart) > armTimeout && l.canFence() {
 		return l.beginFence(views, now)
 	}
-	return orders, Pending
+	return l.armStageOrders(due, views, now), Pending
+}
+
+// armStageOrders returns the orders to arm the ranks of a stage. Before the first of them
+// every rank has to show by a fresh report that its host is running, since nobody can tell
+// whether a rank is armed whose host stops before it reports the outcome.
+func (l *Leader) armStageOrders(ranks []int, views []View, now time.Time) []Order {
+	var arms, reports []Order
+	hasBegun := l.armOrdered == nil
+	for _, rank := range ranks {
+		hasBegun = hasBegun || l.armOrdered[rank]
+		arms = append(arms, l.newOrder(rank, Arm, l.version, l.switchPass))
+		if now.Sub(views[rank].ReportedAt) > freshReportAge+time.Duration(l.size)*leadTimePerRank {
+			reports = append(reports, l.newOrder(rank, Report, 0, l.switchPass))
+		}
+	}
+	if !hasBegun && len(reports) > 0 {
+		return reports
+	}
+	for _, rank := range ranks {
+		if l.armOrdered != nil {
+			l.armOrdered[rank] = true
+		}
+	}
+	return arms
 }
 
 // release releases the held pass, for which all ranks are armed.
--- a/pkg/group/resolve.go
+++ b/pkg/group/resolve.go
@@ -1,6 +1,9 @@
 package group
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // minPartialGroup is the smallest group in which a switch is resolved without one
 // of its ranks. In a group of two, a leader that receives only its own rank's
@@ -24,47 +27,135 @@
 
 // findHolder returns the first rank that reports to hold a pass.
 func findHolder(views []View) (rank int, held bool) {
+	rank = slices.IndexFunc(views, isHolding)
+	return max(0, rank), rank >= 0
+}
+
+func isHolding(view View) bool { return view.Known && view.Held }
+
+// resolveWithoutPivot resolves the hold of a leader whose host, and with it whose rank,
+// is unreachable. That rank is the pivot, so the others mostly show whether it is armed,
+// see armStage. The switch is then completed if it is and fenced if it isn't. Otherwise
+// the group has to wait for the pivot's host.
+func (l *Leader) resolveWithoutPivot(holder int, views []View, now time.Time) ([]Order, Outcome) {
+	pivot, hold := l.pivot(holder), views[holder]
+	othersArmed, canComplete := false, hold.ArmedPass == hold.HeldPass
 	for rank, view := range views {
-		if view.Known && view.Held {
+		switch {
+		case rank == pivot || rank == holder:
+		case view.Held:
+			// Only one of the holds belongs to the switch.
+			return nil, Pending
+		case view.Armed == hold.Armed && view.ArmedPass == hold.ArmedPass:
+			othersArmed = true
+		default:
+			canComplete = canComplete && view.Armed == 0 && view.Prepared == hold.Armed
+		}
+	}
+	l.epoch, l.holderRank, l.armOrdered = views[l.ownRank].Epoch, holder, nil
+	l.version, l.switchPass = hold.Armed, hold.HeldPass
+	switch {
+	case hold.Armed == 0:
+		l.missingRank, l.missingArmed = pivot, false
+		return l.beginFence(views, now)
+	case othersArmed && canComplete:
+		l.missingRank, l.missingArmed = pivot, true
+		l.enterPhase(Arming, now)
+		return l.arm(views, now)
+	default:
+		return nil, Pending
+	}
+}
+
+// findSilent returns the only rank that has not reported recently.
+func (l *Leader) findSilent(views []View, now time.Time) (rank int, found bool) {
+	for rank := range views {
+		if l.allReportedExcept(rank, views, now) {
 			return rank, true
 		}
 	}
 	return 0, false
 }
 
-// resolveWithoutRank resolves the hold of a leader whose host, and with it whose
-// rank, is unreachable. That rank is armed last: if any other rank isn't armed, it
-// isn't either, and the switch can be fenced without it.
-func (l *Leader) resolveWithoutRank(rank int, views []View, now time.Time) ([]Order, Outcome) {
-	someUnarmed := false
-	for other, view := range views {
-		someUnarmed = someUnarmed || (other != rank && view.Armed == 0)
+// omit makes a switch of this leader that has come to a hold go on without a silent rank,
+// and reports whether it may: the rank must be known to be armed or known not to be. In
+// the latter case the switch can't be completed, and is fenced, which takes another rank
+// that isn't armed.
+func (l *Leader) omit(rank int, views []View, now time.Time) bool {
+	if _, held := findHolder(views); !held || views[rank].Held {
+		return false
 	}
-	if !someUnarmed {
-		return nil, Pending
+	armed := false
+	switch l.phase {
+	case Holding, Arming, Releasing:
+		armed = l.phase == Releasing || l.wasArmed(views[rank], now)
+		if l.armOrdered == nil || !armed && (l.armOrdered[rank] || !l.anyOtherUnarmed(rank, views)) {
+			return false
+		}
+	case Fencing:
+		if view := views[rank]; view.Armed != 0 || view.Prepared != l.fenceVersion {
+			return false
+		}
+	default:
+		return false
+	}
+	l.missingRank, l.missingArmed = rank, armed
+	if !armed && l.phase != Fencing {
+		l.enterFence(views, now)
+	}
+	return true
+}
+
+// anyOtherUnarmed reports whether any rank but the given one isn't armed.
+func (l *Leader) anyOtherUnarmed(rank int, views []View) bool {
+	for other, view := range views {
+		if other != rank && view.Armed == 0 {
+			return true
+		}
 	}
-	l.epoch, l.version = views[l.ownRank].Epoch, 0
-	l.missingRank = rank
-	return l.beginFence(views, now)
+	return false
+}
+
+// wasArmed reports whether a silent rank's last report shows that it is armed for the
+// switch. It remains so, since no other leader has received reports meanwhile.
+func (l *Leader) wasArmed(view View, now time.Time) bool {
+	return view.Known && view.Epoch == l.epoch && view.Armed == l.version && view.ArmedPass == l.switchPass && now.Sub(view.ReportedAt) < armTimeout
 }
 
-// beginFence fences the current switch under a version above all known ones.
+// canFence reports whether the switch may be given up: not if it goes on without a rank
+// that is armed.
+func (l *Leader) canFence() bool { return l.missingRank < 0 || !l.missingArmed }
+
+// beginFence fences the current switch.
 func (l *Leader) beginFence(views []View, now time.Time) ([]Order, Outcome) {
+	l.enterFence(views, now)
+	return l.fence(views, now)
+}
+
+// enterFence begins a fence under a version above all known ones.
+func (l *Leader) enterFence(views []View, now time.Time) {
 	l.fenceVersion = l.nextVersion(max(highestVersion(views), l.version))
 	l.lossy = true
 	l.enterPhase(Fencing, now)
-	return l.fence(views, now)
 }
 
-// fence disarms all ranks and orders them to prepare a newer version, after which
-// they refuse a delayed Arm of the old one. Then it releases the hold.
+// fence orders the ranks to prepare a newer version, after which they refuse a delayed
+// Arm of the old one, and then releases the hold. The ranks that aren't armed go first:
+// their newer version shows every other leader that the switch can't be completed. Only
+// then are ranks disarmed, in the reverse order of armStage.
 func (l *Leader) fence(views []View, now time.Time) ([]Order, Outcome) {
-	var orders []Order
+	var orders, disarms []Order
+	stage := holderStage
 	for rank, view := range views {
 		switch {
 		case rank == l.missingRank:
 		case view.Armed != 0:
-			orders = append(orders, l.newOrder(rank, Disarm, view.Armed, 0))
+			if rankStage := l.armStage(rank); rankStage > stage {
+				disarms, stage = nil, rankStage
+			} else if rankStage < stage {
+				continue
+			}
+			disarms = append(disarms, l.newOrder(rank, Disarm, view.Armed, 0))
 		case view.Prepared > l.fenceVersion:
 			// Another leader uses newer versions.
 			l.fenceVersion = l.nextVersion(highestVersion(views))
@@ -74,6 +165,9 @@
 			orders = append(orders, l.newOrder(rank, Prepare, l.fenceVersion, 0))
 		}
 	}
+	if len(orders) == 0 {
+		orders = disarms
+	}
 	if len(orders) > 0 {
 		if now.Sub(l.phaseStart) > fenceTimeout {
 			l.fenceVersion = l.nextVersion(max(highestVersion(views), l.fenceVersion))
@@ -99,9 +193,9 @@
 // this one before it was suspended.
 func (l *Leader) resolve(views []View, now time.Time) ([]Order, Outcome) {
 	held, armed, pass, version := false, 0, uint64(0), uint64(0)
-	for _, view := range views {
+	for rank, view := range views {
 		if view.Held {
-			held, pass = true, view.HeldPass
+			held, pass, l.holderRank = true, view.HeldPass, rank
 		}
 		if view.Armed != 0 {
 			armed++
@@ -111,7 +205,7 @@
 	if !held && (armed == 0 || allArmedAlike(views)) {
 		return nil, Pending
 	}
-	l.epoch, l.missingRank = views[0].Epoch, -1
+	l.epoch, l.missingRank, l.armOrdered = views[0].Epoch, -1, nil
 	l.version = version
 	if armed == 0 {
 		return l.beginFence(views, now)
@@ -130,11 +224,15 @@
 		l.enterPhase(Arming, now)
 		return l.arm(views, now)
 	}
-	// No rank holds the pass. It is held at the rank after an unarmed one, which is
-	// then the last to be armed.
+	if pass <= newestPass(views) {
+		// The reports are from before and after the pass began.
+		return nil, Pending
+	}
+	// No rank holds the pass. It is held at an armed rank, if possible at one whose
+	// pivot is armed as well, as armStage would have left it.
 	for rank, view := range views {
-		if view.Armed == 0 {
-			l.holderRank = (rank + 1) % l.size
+		if view.Armed != 0 && (views[l.holderRank].Armed == 0 || views[l.pivot(rank)].Armed != 0) {
+			l.holderRank = rank
 		}
 	}
 	l.enterPhase(Holding, now)
