pkg/group: a duplicate of a hold is released at once

Callers would see a group stand still for up to two seconds after a switch. An order to hold a pass may be carried out twice, the second time after the order to release it: calls are repeated while they aren't answered. The leader was then settling and looked at the first rank that still had the old map only, so that the hold was found after settleTimeout.

--- a/pkg/group/frozen_test.go
+++ b/pkg/group/frozen_test.go
@@ -109,6 +109,33 @@
 	return f.held, true
 }
 
+// TestDuplicateOfAHoldIsReleased guards against a group that is held for the whole
+// settleTimeout after a duplicate of the Hold was carried out after the Release.
+func TestDuplicateOfAHoldIsReleased(t *testing.T) {
+	f := newFrozenHostRun()
+	leader := f.newLeader(0)
+	leader.SetPassTime(frozenHostTick / 4)
+	for !leader.CanBegin(f.views, f.now) {
+		f.step(leader)
+	}
+	leader.Begin(f.views, f.now)
+	hold := &f.ranks[1]
+	for !hold.held {
+		f.step(leader)
+	}
+	pass := hold.heldPass
+	for leader.Phase() != group.Settling {
+		f.step(leader)
+	}
+	require.Less(t, f.pass, pass)
+	hold.held, hold.heldPass = true, pass
+	for leader.Phase() != group.Idle {
+		f.step(leader)
+	}
+	require.Less(t, f.held, 300*time.Millisecond)
+	require.NotZero(t, f.ranks[0].expertMap, "the switch is completed")
+}
+
 // TestGroupIsNotHeldAsLongAsAHostIsFrozen guards against a group that stands still until a
 // host that was suspended during a switch is back.
 func TestGroupIsNotHeldAsLongAsAHostIsFrozen(t *testing.T) {
--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -483,19 +483,25 @@
 }
 
 // settle waits until all ranks are reported to use the map, for no longer than
-// settleTimeout.
+// settleTimeout. A duplicate of the Hold may have been carried out after the Release.
 func (l *Leader) settle(views []View, now time.Time) ([]Order, Outcome) {
-	for _, view := range views {
-		if view.Map == l.version {
-			continue
-		}
-		if view.Held || now.Sub(l.phaseStart) > settleTimeout {
-			// A group without requests runs no passes. resolve finds later what is
-			// still held or armed.
-			l.enterPhase(Idle, now)
+	settled := true
+	var orders []Order
+	for rank, view := range views {
+		settled = settled && view.Map == l.version
+		if view.Held && view.HeldPass == l.switchPass {
+			orders = append(orders, l.newOrder(rank, Release, 0, l.switchPass))
 		}
+	}
+	if settled {
+		l.enterPhase(Idle, now)
+		return nil, Done
+	}
+	if now.Sub(l.phaseStart) > settleTimeout {
+		// A group without requests runs no passes. resolve finds later what is still
+		// held or armed.
+		l.enterPhase(Idle, now)
 		return nil, Pending
 	}
-	l.enterPhase(Idle, now)
-	return nil, Done
+	return orders, Pending
 }
