internal/rank: orders are repeated sooner until one is answered

Callers waited for a second or more for their first event while orders to ranks went unanswered (applied_late): the leader repeated a hold or its release each 100 ms, an agent gave up after five calls in 100 ms and waited for their timeouts. The group stood meanwhile, and switches of a second couldn't follow the drift of the experts. Streams that were late already were then lost when a host stood still, and their runs outlasted the callers (GONE).

Change: agents repeat an order to their own rank each 5 ms, up to 16 times, and the leader its direct calls each 10 ms, up to 6 times. Orders to prepare are repeated later the larger the group is, as a rank takes longer to read a map. The agent of the rank that holds the pass is told to release it as well.

Ruled out: taking the answer to an order to hold for the report of the hold.

--- a/internal/rank/direct.go
+++ b/internal/rank/direct.go
@@ -81,7 +81,7 @@
 	a := l.agent
 	plan := l.plan
 	go func() {
-		err := callRank(a.orders.ctx, direct.rank, order, plan)
+		err := callRankHedged(a.orders.ctx, direct.rank, order, plan, remoteHedges(order))
 		if err != nil || !force {
 			event.RankOrdered.Log(a.logger, zap.Stringer("agent", agent), zap.Stringer("kind", order.GetKind()),
 				zap.Uint64("version", order.GetVersion()), zap.Uint64("pass", order.GetPass()), event.Error(err))
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -475,9 +475,10 @@
 		if address, ok := l.addresses[order.Rank]; ok {
 			// The leader calls the rank itself for a Hold and for the Release that ends
 			// it. A hold that an agent placed would remain if the agent's host failed at
-			// that moment.
-			force := order.Kind == group.Hold || order.Kind == group.Release && l.machine.Phase() == group.Releasing
-			if l.sendDirectly(address, message, force, now) {
+			// that moment. The agent gets the Release as well, as its calls are repeated
+			// sooner.
+			force := order.Kind == group.Hold || order.Kind == group.Release && l.machine.Phase() != group.Fencing
+			if l.sendDirectly(address, message, force, now) && order.Kind != group.Release {
 				continue
 			}
 			a.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_RankOrder{RankOrder: message}}, address)
--- a/internal/rank/orders.go
+++ b/internal/rank/orders.go
@@ -35,13 +35,19 @@
 	forwardThreshold = 50 * time.Millisecond
 	// orderHedgeDelay is how long a call with an order may take before another call
 	// with the same order is started concurrently, up to maxHedges times. A rank on the
-	// same host answers in about a millisecond, and a group waits for its slowest rank.
-	// A duplicate does no harm: the rank is already in the state that the order asks
-	// for.
-	// prepareHedgeDelay is longer, since a rank takes longer to read a map.
-	orderHedgeDelay   = 20 * time.Millisecond
-	prepareHedgeDelay = 60 * time.Millisecond
-	maxHedges         = 4
+	// same host answers in about a millisecond, and a group that is held waits for its
+	// slowest rank. A duplicate does no harm: the rank is already in the state that the
+	// order asks for. A leader's calls to ranks on other hosts take longer, and the
+	// platform charges for them.
+	orderHedgeDelay       = 5 * time.Millisecond
+	maxHedges             = 16
+	remoteOrderHedgeDelay = 10 * time.Millisecond
+	maxRemoteHedges       = 6
+	// prepareHedgeDelay, with prepareHedgeDelayPerRank for each rank, is the delay of
+	// orders to prepare a map: a rank takes longer to read one.
+	prepareHedgeDelay        = 20 * time.Millisecond
+	prepareHedgeDelayPerRank = 400 * time.Microsecond
+	maxPrepareHedges         = 4
 	// copyPollInterval is how often the rank's state is read while it copies experts.
 	copyPollInterval = 25 * time.Millisecond
 )
@@ -160,9 +166,9 @@
 			time.Sleep(copyPollInterval)
 		} else {
 			a.mu.Lock()
-			plan := a.plans.find(order.GetVersion())
+			plan, size := a.plans.find(order.GetVersion()), a.state.Size
 			a.mu.Unlock()
-			switch err := callRankHedged(ctx, a.rank, order, plan); {
+			switch err := callRankHedged(ctx, a.rank, order, plan, localHedges(order, size)); {
 			case err == nil:
 				answered = order
 			case errors.Is(err, platform.ErrNoResponse):
@@ -179,24 +185,43 @@
 	}
 }
 
+// hedges determines how soon and how often a call is repeated that isn't answered.
+type hedges struct {
+	delay time.Duration
+	most  int
+}
+
+// localHedges returns the hedges of an order to the rank on the same host, of a group of
+// size ranks.
+func localHedges(order *wirepb.RankOrder, size int) hedges {
+	if order.GetKind() == wirepb.RankOrder_KIND_PREPARE {
+		return hedges{delay: prepareHedgeDelay + time.Duration(size)*prepareHedgeDelayPerRank, most: maxPrepareHedges}
+	}
+	return hedges{delay: orderHedgeDelay, most: maxHedges}
+}
+
+// remoteHedges returns the hedges of an order to a rank on another host.
+func remoteHedges(order *wirepb.RankOrder) hedges {
+	if order.GetKind() == wirepb.RankOrder_KIND_PREPARE {
+		return hedges{delay: remoteOrderHedgeDelay, most: 0}
+	}
+	return hedges{delay: remoteOrderHedgeDelay, most: maxRemoteHedges}
+}
+
 // callRankHedged calls a rank with an order, and starts further calls while none is
 // answered. It returns the result of the first call that is answered.
-func callRankHedged(ctx context.Context, rank *platform.RankClient, order *wirepb.RankOrder, plan [][][]int) error {
+func callRankHedged(ctx context.Context, rank *platform.RankClient, order *wirepb.RankOrder, plan [][][]int, hedges hedges) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	delay := orderHedgeDelay
-	if order.GetKind() == wirepb.RankOrder_KIND_PREPARE {
-		delay = prepareHedgeDelay
-	}
-	answers := make(chan error, 1+maxHedges)
+	answers := make(chan error, 1+hedges.most)
 	call := func() { answers <- callRank(ctx, rank, order, plan) }
 	go call()
-	ticker := time.NewTicker(delay)
+	ticker := time.NewTicker(hedges.delay)
 	defer ticker.Stop()
 	for started, unanswered := 1, 0; ; {
 		select {
 		case <-ticker.C:
-			if started <= maxHedges {
+			if started <= hedges.most {
 				started++
 				go call()
 			}
--- a/internal/rank/orders_test.go
+++ b/internal/rank/orders_test.go
@@ -31,6 +31,7 @@
 	}{
 		{name: "answered", status: http.StatusOK, within: 100 * time.Millisecond},
 		{name: "two calls unanswered", lost: 2, status: http.StatusOK, within: 150 * time.Millisecond},
+		{name: "eight calls unanswered", lost: 8, status: http.StatusOK, within: 150 * time.Millisecond},
 		{name: "refused", lost: 1, status: http.StatusConflict, want: platform.ErrOrderRejected, within: 150 * time.Millisecond},
 		{name: "all calls unanswered", lost: 100, status: http.StatusOK, want: platform.ErrNoResponse, within: time.Second},
 	}
@@ -48,7 +49,7 @@
 			defer server.Close()
 			order := &wirepb.RankOrder{Kind: wirepb.RankOrder_KIND_ARM, Epoch: 1, Version: 2, Pass: 3}
 			start := time.Now()
-			err := callRankHedged(context.Background(), platform.NewRankClient(server.Listener.Addr().String()), order, nil)
+			err := callRankHedged(context.Background(), platform.NewRankClient(server.Listener.Addr().String()), order, nil, localHedges(order, 12))
 			require.ErrorIs(t, err, tc.want)
 			require.Less(t, time.Since(start), tc.within)
 			require.LessOrEqual(t, calls.Load(), int32(1+maxHedges))
--- a/internal/rank/rank_test.go
+++ b/internal/rank/rank_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,6 +65,8 @@
 	agents []*rank.Agent
 	peers  []string
 	entry  *dgram.Socket
+	// popular is the expert that has as much load as all others together.
+	popular atomic.Int64
 
 	mu sync.Mutex
 	// loadReports counts the load reports from each agent's host.
@@ -80,9 +83,8 @@
 		replicas = append(replicas, net.JoinHostPort(ip, fmt.Sprint(port)))
 		g.peers = append(g.peers, net.JoinHostPort(ip, fmt.Sprint(port+1)))
 	}
-	// Expert 0 has as much load as all others together.
 	popularity := func(_, expert int) uint64 {
-		if expert == 0 {
+		if expert == int(g.popular.Load()) {
 			return 1500
 		}
 		return 100
@@ -201,6 +203,29 @@
 	require.Empty(t, g.group.Violations())
 }
 
+// TestLateOrdersDoNotHoldAGroup guards against a group that stands still for a large part
+// of a switch when most orders aren't answered and are carried out seconds later.
+func TestLateOrdersDoNotHoldAGroup(t *testing.T) {
+	g := newTestGroup(t)
+	defer g.stopAll()
+	random := rand.New(rand.NewPCG(5, 6))
+	g.group.DelayOrders(func(string) time.Duration {
+		if random.IntN(10) < 7 {
+			return 2*time.Second + time.Duration(random.IntN(2000))*time.Millisecond
+		}
+		return 0
+	})
+	const switches = 3
+	version := uint64(0)
+	for range switches {
+		before := g.group.HeldTime()
+		version = g.waitBalanced(version)
+		require.Less(t, g.group.HeldTime()-before, 250*time.Millisecond, "time for which passes were held during a switch")
+		g.popular.Add(1)
+	}
+	require.Empty(t, g.group.Violations())
+}
+
 // TestAnotherAgentLeadsWhenTheLeaderIsGone stops the leader's agent after the group
 // is balanced. The ranks must still have one map in each pass, and the version of the
 // map must not decrease.
