pkg/group, internal/rank: all ranks report before the first of them is armed

Change: all ranks have to report between the report of the hold and the first order to arm. A leader is taken over after 0.3 s without its announcements, three of them, instead of 0.4 s.

--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -22,7 +22,7 @@
 const (
 	// leaderTimeout is how long an agent receives no announcement of a leader before it
 	// leads itself. A leader announces itself each reportInterval.
-	leaderTimeout = 400 * time.Millisecond
+	leaderTimeout = 300 * time.Millisecond
 	// agentTimeout is how long an agent may send nothing before the leader polls its
 	// rank itself, each directPollInterval. The platform charges for these calls, but
 	// they are needed to release ranks that a crashed agent has left held.
--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -1,6 +1,9 @@
 package group
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // View is the state of a rank as of its last report.
 type View struct {
@@ -440,31 +443,35 @@
 	if now.Sub(l.phaseStart) > armTimeout && l.canFence() {
 		return l.beginFence(views, now)
 	}
-	return l.armStageOrders(due, views, now), Pending
-}
-
-// armStageOrders returns the orders to arm the ranks of a stage. Before the first of them
-// every rank has to show by a fresh report that its host is running, since nobody can tell
-// whether a rank is armed whose host stops before it reports the outcome.
-func (l *Leader) armStageOrders(ranks []int, views []View, now time.Time) []Order {
-	var arms, reports []Order
-	hasBegun := l.armOrdered == nil
-	for _, rank := range ranks {
-		hasBegun = hasBegun || l.armOrdered[rank]
-		arms = append(arms, l.newOrder(rank, Arm, l.version, l.switchPass))
-		if now.Sub(views[rank].ReportedAt) > freshReportAge+time.Duration(l.size)*leadTimePerRank {
-			reports = append(reports, l.newOrder(rank, Report, 0, l.switchPass))
-		}
+	if reports := l.missingReports(due, views, now); len(reports) > 0 {
+		return reports, Pending
 	}
-	if !hasBegun && len(reports) > 0 {
-		return reports
-	}
-	for _, rank := range ranks {
+	var orders []Order
+	for _, rank := range due {
 		if l.armOrdered != nil {
 			l.armOrdered[rank] = true
 		}
+		orders = append(orders, l.newOrder(rank, Arm, l.version, l.switchPass))
+	}
+	return orders, Pending
+}
+
+// missingReports returns orders to report for ranks whose hosts may not be running. Nobody
+// can tell whether a rank is armed whose host stops before it reports the outcome, so
+// arming has to be short: before the first rank is armed, all must have reported since
+// the pass was held, and before each stage its ranks must have reported lately.
+func (l *Leader) missingReports(stage []int, views []View, now time.Time) []Order {
+	if l.armOrdered == nil || slices.ContainsFunc(stage, func(rank int) bool { return l.armOrdered[rank] }) {
+		return nil
+	}
+	var orders []Order
+	for rank, view := range views {
+		late := now.Sub(view.ReportedAt) > freshReportAge+time.Duration(l.size)*leadTimePerRank && slices.Contains(stage, rank)
+		if late || len(l.armOrdered) == 0 && view.ReportedAt.Before(l.phaseStart) {
+			orders = append(orders, l.newOrder(rank, Report, 0, l.switchPass))
+		}
 	}
-	return arms
+	return orders
 }
 
 // release releases the held pass, for which all ranks are armed.
