pkg/sched: requests aren't sent to endpoints that can't answer them in time

Callers got their first event after a second or more, with no request refused, once passes of a group had become slow for a while: every slot was then taken, each stream took longer and was late, two more requests waited at each replica for a slot, and the service didn't recover. When a host stood still in that state, callers left within two seconds wherever their streams were moved, and the runs on that host outlasted them (GONE).

Change: an endpoint gets fewer requests beyond its slots if these would wait longer than the latency target, by the mean time that requests take. Agents report the interval between passes, the time that a group stands still included; while it is above 0.75 of the longest gap at which a stream is on time, endpoints are given requests for as small a part of their slots. Streams that have begun go on as before.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -64,7 +64,8 @@
 	e.budget.addRequest(r.service.Name(), r.receivedAt, limits)
 	wanted := sched.Request{
 		Priority: r.team.Priority(r.route), ClientRetry: e.isClientRetry(r), Tried: r.tried,
-		MaxWait: time.Duration(float64(r.route.LatencyTarget()) * sched.QueueWaitShare),
+		MaxWait:         time.Duration(float64(r.route.LatencyTarget()) * sched.QueueWaitShare),
+		MaxEndpointWait: r.route.LatencyTarget(),
 	}
 	if wanted.ClientRetry {
 		wanted.MaxWait = min(sched.RetryQueueWait, time.Until(r.deadline)/2)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -278,6 +278,9 @@
 func updateService(s *sched.Service, view *mirror.View) {
 	configured := tableService(view, s.Name())
 	engine := configured != nil && configured.Engine() != nil
+	if t := view.Table(); engine {
+		s.SetGapTarget(t.MinGapTarget(s.Name()))
+	}
 	s.Update(view.Endpoints(s.Name()), engine, view.Evacuated, view.Revision())
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -340,7 +340,7 @@
 	return sched.AgentReport{
 		Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Pace: load.GetPace(),
 		Accepting: load.GetOpen() && load.GetReachable(), AgentsKnown: load.GetAgentsKnown(),
-		Entries: int(load.GetEntries()),
+		Entries: int(load.GetEntries()), PassInterval: time.Duration(load.GetPassMs()) * time.Millisecond,
 	}
 }
 
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -70,6 +70,7 @@
 	lastAnswer  time.Time
 	unreachable bool
 	counts      countTracker
+	passes      passClock
 	// experts has the experts that the rank holds, by set, in the map of
 	// expertsVersion and expertsEpoch.
 	experts        [][]int
@@ -203,6 +204,7 @@
 	now := time.Now()
 	if err == nil {
 		a.state, a.lastAnswer = state, now
+		a.passes.update(state, now)
 	}
 	unreachable := now.Sub(a.lastAnswer) > unreachableTimeout
 	if unreachable == a.unreachable || ctx.Err() != nil {
@@ -239,6 +241,43 @@
 	return added
 }
 
+// passClock measures the interval between passes from the pass numbers of reports. The
+// zero value has measured none.
+type passClock struct {
+	epoch, pass uint64
+	// since is when the measurement in progress began, with pass as the last pass.
+	since    time.Time
+	measured time.Duration
+	busy     bool
+}
+
+// passClockWindow is the shortest span over which the interval is measured.
+const passClockWindow = 200 * time.Millisecond
+
+// update adds a report of the rank's state.
+func (c *passClock) update(state platform.RankState, now time.Time) {
+	c.busy = state.Open && state.Running+state.Waiting > 0
+	switch span := now.Sub(c.since); {
+	case !c.busy || state.Epoch != c.epoch || state.Pass < c.pass:
+		c.epoch, c.pass, c.since, c.measured = state.Epoch, state.Pass, now, 0
+	case state.Pass > c.pass && span >= passClockWindow:
+		c.measured = span / time.Duration(state.Pass-c.pass)
+		c.pass, c.since = state.Pass, now
+	}
+}
+
+// interval returns the interval between passes: the last one measured, or the time for
+// which no pass has begun if that is longer. It is zero for a group without requests.
+func (c *passClock) interval(now time.Time) time.Duration {
+	if !c.busy {
+		return 0
+	}
+	if waiting := now.Sub(c.since); waiting > 2*passClockWindow {
+		return max(c.measured, waiting)
+	}
+	return c.measured
+}
+
 // sendReport reports the rank's state to the group's leader.
 func (a *Agent) sendReport(ctx context.Context, action countAction) {
 	a.mu.Lock()
@@ -303,6 +342,7 @@
 
 		AgentsKnown: a.agentsKnown,
 		Entries:     uint32(len(entries)),
+		PassMs:      uint32(a.passes.interval(now).Milliseconds()),
 	}
 	a.mu.Unlock()
 	a.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Load{Load: load}}, entries...)
--- a/internal/rank/plan_test.go
+++ b/internal/rank/plan_test.go
@@ -174,3 +174,27 @@
 	}
 	return plan
 }
+
+// TestPassClock has a group run passes each 50 ms, stand still, and go on.
+func TestPassClock(t *testing.T) {
+	var clock passClock
+	now := time.Unix(1000, 0)
+	state := platform.RankState{Epoch: 1, Open: true, Running: 3, Pass: 10}
+	report := func(reports, passes int) time.Duration {
+		for range reports {
+			now = now.Add(100 * time.Millisecond)
+			state.Pass += uint64(passes)
+			clock.update(state, now)
+		}
+		return clock.interval(now)
+	}
+	require.Equal(t, 50*time.Millisecond, report(5, 2))
+	require.Equal(t, 50*time.Millisecond, report(3, 0))
+	require.Equal(t, 800*time.Millisecond, report(5, 0), "the group stands still")
+	require.Equal(t, 50*time.Millisecond, report(5, 2))
+	state.Running = 0
+	require.Zero(t, report(1, 0), "a group without requests runs no passes")
+	state.Running, state.Epoch, state.Pass = 3, 2, 0
+	require.Zero(t, report(1, 0), "nothing is measured yet in a new epoch")
+	require.Equal(t, 100*time.Millisecond, report(4, 1))
+}
--- a/pkg/sched/endpoint.go
+++ b/pkg/sched/endpoint.go
@@ -42,6 +42,9 @@
 	entries int
 	// notAccepting is set while the agent reports that the endpoint accepts no requests.
 	notAccepting bool
+	// passInterval is the interval between passes in the agent's last report, zero if the
+	// endpoint's group runs none.
+	passInterval time.Duration
 	// pace is how many times slower the endpoint is than its peers, at least 1.
 	pace float64
 	// failures is the failure score as of failuresUpdatedAt.
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -233,6 +233,9 @@
 	Resuming bool
 	// MaxWait bounds the time that the request spends in the queue.
 	MaxWait time.Duration
+	// MaxEndpointWait bounds the time for which the request is expected to wait for a slot
+	// of its endpoint, zero for no bound.
+	MaxEndpointWait time.Duration
 	// Tried holds the IDs of the endpoints that the request was sent to before.
 	Tried map[string]bool
 }
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -19,10 +19,16 @@
 // Parameters of the queue and of the tracking of endpoints.
 const (
 	// replicaExtra is how many requests a model replica may have beyond its slots, so
-	// that one can start as soon as another completes.
+	// that one can start as soon as another completes. It is fewer while slots are taken
+	// for so long that a request would wait longer than its MaxEndpointWait.
 	replicaExtra = 2
 	// plainExtra is the same for endpoints of plain services.
 	plainExtra = 4
+	// passTargetShare is the share of the longest gap between events at which a stream is on
+	// time that passes may take on average. A stream with one longer gap is late.
+	passTargetShare = 0.75
+	// runTimeWeight is the weight of one request in the moving average of run times.
+	runTimeWeight = 0.1
 	// resumeExtra is how many streams that resume from another endpoint an endpoint may
 	// have beyond replicaExtra or plainExtra. Their callers already have part of the
 	// response and disconnect after two seconds without an event, and a replica runs
@@ -104,8 +110,9 @@
 // Assignment is the assignment of a request to an endpoint. It keeps the endpoint's
 // specification as of that time.
 type Assignment struct {
-	endpoint *endpoint
-	spec     *table.Endpoint
+	endpoint   *endpoint
+	spec       *table.Endpoint
+	assignedAt time.Time
 }
 
 // Endpoint returns the endpoint that the request is assigned to.
@@ -125,6 +132,9 @@
 	AgentsKnown uint32
 	// Entries is the number of entries that the agent reports to.
 	Entries int
+	// PassInterval is the interval between passes of the endpoint's group, in each of
+	// which a stream gets one event; zero if the group runs none.
+	PassInterval time.Duration
 }
 
 // Service holds the endpoints of a service, as seen by one entry, and a queue of
@@ -153,6 +163,9 @@
 	// result, and are sent to an endpoint.
 	completions rate
 	sends       rate
+	// meanRunTime is the moving average of the time that a request is at an endpoint, of
+	// requests that were answered; zero before the first.
+	meanRunTime time.Duration
 	// groupRefusedAt is when a rank last refused a request though it had more slots than
 	// requests of this entry, zero if an agent has reported since that its rank accepts
 	// requests again.
@@ -162,6 +175,9 @@
 	outageStart, outageEnd time.Time
 	// meanOutage is the moving average of the length of outages, zero before the first.
 	meanOutage time.Duration
+	// passTarget is the mean interval between passes up to which streams are on time, zero
+	// if the service has none.
+	passTarget time.Duration
 	// hasServed is set once an endpoint has answered since the entry started.
 	hasServed bool
 }
@@ -284,6 +300,36 @@
 	s.assignWaiting(now)
 }
 
+// SetGapTarget sets the longest gap between events at which the service's streams are on
+// time, zero for none.
+func (s *Service) SetGapTarget(target time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.passTarget = time.Duration(passTargetShare * float64(target))
+}
+
+// slotShare returns the share of their slots that endpoints are given requests for. It is
+// below one while passes take longer than passTarget, since each request makes them
+// longer, and streams that aren't on time take all slots, for longer. The caller must hold
+// s.mu.
+func (s *Service) slotShare(now time.Time) float64 {
+	if s.passTarget <= 0 {
+		return 1
+	}
+	var sum time.Duration
+	count := 0
+	for _, e := range s.endpoints {
+		if e.passInterval > 0 && e.hasFreshReport(now) {
+			sum += e.passInterval
+			count++
+		}
+	}
+	if sum <= time.Duration(count)*s.passTarget {
+		return 1
+	}
+	return float64(count) * float64(s.passTarget) / float64(sum)
+}
+
 // find returns the endpoint with the given ID, or nil. The caller must hold s.mu.
 func (s *Service) find(id string) *endpoint {
 	for _, e := range s.endpoints {
@@ -333,6 +379,7 @@
 	if s.isModelService {
 		extra = replicaExtra
 	}
+	extra = s.limitExtra(extra, req.MaxEndpointWait)
 	if req.Resuming {
 		extra += resumeExtra
 	}
@@ -340,6 +387,12 @@
 		return nil, pick.NoneAvailable
 	}
 	loads := s.loads(req.Tried, now)
+	if share := s.slotShare(now); share < 1 && !req.Resuming {
+		extra = int(share * float64(extra))
+		for i := range loads {
+			loads[i].Slots = int(math.Ceil(share * float64(loads[i].Slots)))
+		}
+	}
 	if req.isLate() && s.isRecovering(now) {
 		extra = 0
 		for i := range loads {
@@ -354,6 +407,21 @@
 	return s.endpoints[at], verdict
 }
 
+// limitExtra returns how many of extra requests beyond the slots of an endpoint can begin
+// within a time, zero for no limit. The caller must hold s.mu.
+func (s *Service) limitExtra(extra int, maxWait time.Duration) int {
+	if maxWait <= 0 || s.meanRunTime <= 0 || len(s.endpoints) == 0 {
+		return extra
+	}
+	slots := 0
+	for _, e := range s.endpoints {
+		slots += e.slots
+	}
+	// A slot of an endpoint becomes free each meanRunTime / slots.
+	freed := float64(maxWait) / float64(s.meanRunTime) * float64(slots) / float64(len(s.endpoints))
+	return min(extra, int(freed))
+}
+
 // HasCapacity reports whether a request could be assigned to an endpoint now.
 func (s *Service) HasCapacity(req Request) bool {
 	s.mu.Lock()
@@ -377,7 +445,7 @@
 	if e.isCold(now) {
 		e.coldSends = append(e.coldSends, now)
 	}
-	return Assignment{endpoint: e, spec: e.spec}, pick.Chosen
+	return Assignment{endpoint: e, spec: e.spec, assignedAt: now}, pick.Chosen
 }
 
 // RecordGroupRefusal records that a rank refused a request. If this entry's requests
@@ -408,6 +476,11 @@
 	defer s.mu.Unlock()
 	now, e := s.now(), assignment.endpoint
 	s.hasServed = true
+	if runTime := now.Sub(assignment.assignedAt); s.meanRunTime == 0 {
+		s.meanRunTime = runTime
+	} else {
+		s.meanRunTime += time.Duration(runTimeWeight * float64(runTime-s.meanRunTime))
+	}
 	e.failures, e.failuresUpdatedAt = e.failureScore(now)*0.7, now
 	if e.ejected && e.failures < restoreThreshold {
 		e.ejected = false
@@ -529,7 +602,7 @@
 			s.groupRefusedAt = time.Time{}
 		}
 		e.notAccepting = !report.Accepting
-		e.pace = max(1, report.Pace)
+		e.pace, e.passInterval = max(1, report.Pace), report.PassInterval
 		s.assignWaiting(now)
 		return true
 	}
