pkg/sched, internal/edge: replicas get no more requests than the limit that they name

Replicas in need name in their answers the requests a second that they take from all machines together (Server-Limit).

Change: an entry sends a replica with a limit one request each N / limit seconds, N being the entries that use the replica, and less often where that many entries could exceed the limit within 4 s by chance. Retries, streams that resume and queued requests count. The other replicas get the rest. Where all have limits, a request that can't be sent in time is refused at once, with the replica that takes one first and the time until then. A limit ends with an answer that doesn't name it, to a request that was sent after the limit was last seen, or with the replica's restart. Entries tell each other of limits and of their end, so that one that has just started, or has had no answer yet, keeps them too. endpoint_limited (4010), endpoint_unlimited (4011) and the gauge lentilstand_endpoint_limit_thousandths show them.

Ruled out: counting the limit at each entry by itself; seven entries that each see 0.4 requests a second never reach a limit of 2.6.

--- a/internal/edge/answers_test.go
+++ b/internal/edge/answers_test.go
@@ -87,3 +87,43 @@
 		return s.call(0, http.MethodPost, "/book/1", "", nil).status == http.StatusOK
 	}, 2*time.Second, 50*time.Millisecond, "the pause ends")
 }
+
+// TestReplicaGetsNoMoreRequestsThanTheLimitThatItNames guards against requests beyond the
+// limit that a replica names in its answers, from all entries together.
+func TestReplicaGetsNoMoreRequestsThanTheLimitThatItNames(t *testing.T) {
+	const perSecond, span = 3.0, 4 * time.Second
+	var limits atomic.Bool
+	limits.Store(true)
+	s, limited := startRawSite(t, func(conn net.Conn, _ int, id string) bool {
+		header := ""
+		if limits.Load() {
+			header = fmt.Sprintf("Server-Limit: %.1f\r\n", perSecond)
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nLentilstand-Request-Id: %s\r\nLentilstand-Response-Seal: seal\r\n%sContent-Length: 2\r\n\r\nok", id, header)
+		return true
+	})
+	s.startEntry("entry-2")
+	s.waitReady(1)
+	refused := 0
+	for began := time.Now(); time.Since(began) < span; time.Sleep(20 * time.Millisecond) {
+		for entry := range 2 {
+			if got := s.call(entry, http.MethodPost, "/book/1", "", nil); got.status != http.StatusOK {
+				refused++
+				require.Equal(t, http.StatusServiceUnavailable, got.status)
+				require.Contains(t, got.body, "i-raw", "the answer names the replica")
+				require.NotEmpty(t, got.header.Get("Retry-After"))
+			}
+		}
+	}
+	require.NotZero(t, refused)
+	require.Greater(t, limited.requests(), int(span.Seconds()*perSecond/2))
+	require.LessOrEqual(t, float64(limited.requests()), 1.5*span.Seconds()*perSecond+5)
+	limits.Store(false)
+	require.Eventually(t, func() bool {
+		before := limited.requests()
+		for range 10 {
+			s.call(0, http.MethodPost, "/book/1", "", nil)
+		}
+		return limited.requests() == before+10
+	}, 10*time.Second, 100*time.Millisecond, "the limit ends when answers no longer name it")
+}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -265,6 +265,9 @@
 	if reply.Pause > 0 {
 		r.service.RecordPause(assignment, reply.Pause)
 	}
+	if reply.NamesLimit {
+		r.service.RecordLimit(assignment, reply.Limit)
+	}
 	if reply.HasLoad {
 		r.service.UpdateFromResponse(assignment, reply.Running, reply.Waiting, reply.Slots)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -120,6 +120,12 @@
 		report(e.pool.Opened(), "connections_opened")
 		report(int64(e.pool.Idle()), "connections_idle")
 	})
+	metrics.Gauge("lentilstand_endpoint_limit_thousandths", "Requests in 1,000 seconds that an endpoint takes from all entries.", "endpoint",
+		func(report func(int64, string)) {
+			for _, s := range e.allServices() {
+				s.EachLimit(func(endpoint *table.Endpoint, perSecond float64) { report(int64(1000*perSecond), endpoint.ID()) })
+			}
+		})
 	return e, nil
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -231,6 +232,7 @@
 		Watching: watching,
 		Parts:    parts.Encode(p.entry.parts.tracker.Export(time.Now())),
 		Starting: p.isStarting(),
+		Limits:   encodeLimits(p.entry.allServices()),
 	}
 	p.mu.Lock()
 	p.relay.writeTo(hello, time.Now())
@@ -238,6 +240,38 @@
 	return &wirepb.Datagram{Body: &wirepb.Datagram_Hello{Hello: hello}}
 }
 
+// maxHelloLimits is how many limits of endpoints a hello has at most. If there are more, it
+// has some of them, taken at random.
+const maxHelloLimits = 16
+
+// encodeLimits encodes the limits of services' endpoints.
+func encodeLimits(services []*sched.Service) []*wirepb.EndpointLimit {
+	var encoded []*wirepb.EndpointLimit
+	for _, s := range services {
+		for _, limit := range s.Limits() {
+			encoded = append(encoded, &wirepb.EndpointLimit{
+				Incarnation: limit.Incarnation(), PerSecond: limit.PerSecond(), AgeMs: uint32(max(0, limit.Age()).Milliseconds()),
+			})
+		}
+	}
+	if len(encoded) > maxHelloLimits {
+		rand.Shuffle(len(encoded), func(i, j int) { encoded[i], encoded[j] = encoded[j], encoded[i] })
+		encoded = encoded[:maxHelloLimits]
+	}
+	return encoded
+}
+
+// decodeLimits is the inverse of encodeLimits. It leaves out limits that aren't numbers.
+func decodeLimits(encoded []*wirepb.EndpointLimit) []sched.Limit {
+	var limits []sched.Limit
+	for _, wire := range encoded {
+		if perSecond := wire.GetPerSecond(); perSecond >= 0 && !math.IsInf(perSecond, 1) {
+			limits = append(limits, sched.NewLimit(wire.GetIncarnation(), perSecond, time.Duration(wire.GetAgeMs())*time.Millisecond))
+		}
+	}
+	return limits
+}
+
 // relayContact is when an entry that watches the store was last heard, here or by a peer.
 // Hellos pass it on, since in a large fleet each entry hears any other one only every
 // few seconds.
@@ -361,6 +395,11 @@
 func (p *peers) receiveHello(from netip.AddrPort, hello *wirepb.Hello) {
 	p.entry.crashTracker.merge(hello.GetSuspects())
 	p.entry.parts.merge(hello.GetParts())
+	if limits := decodeLimits(hello.GetLimits()); len(limits) > 0 {
+		for _, s := range p.entry.allServices() {
+			s.MergeLimits(limits)
+		}
+	}
 	if hello.GetStarting() {
 		p.sendSuspects(from)
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -61,15 +61,17 @@
 
 // Events of endpoints.
 var (
-	EndpointCold     = register(4001, "endpoint_cold", warnLevel, "The endpoint restarted or became cold; its capacity is raised again as requests complete.")
-	EndpointReady    = register(4002, "endpoint_ready", infoLevel, "The endpoint accepts requests.")
-	EndpointNotReady = register(4003, "endpoint_not_ready", warnLevel, "The endpoint is unreachable or not ready; it gets no requests.")
-	EndpointAdded    = register(4005, "endpoint_added", infoLevel, "An endpoint was registered.")
-	EndpointRemoved  = register(4006, "endpoint_removed", infoLevel, "An endpoint is no longer registered.")
-	EndpointShunned  = register(4007, "endpoint_shunned", warnLevel, "An endpoint fails requests or does not respond; it gets few requests until it serves them again.")
-	EndpointTrusted  = register(4008, "endpoint_trusted", infoLevel, "An endpoint that got few requests after failures serves requests again.")
-	EndpointPaused   = register(4009, "endpoint_paused", infoLevel, "An endpoint turned a request away and wants no more for the time `pause`.")
-	EndpointLeaving  = register(4004, "endpoint_leaving", infoLevel, "The endpoint is leaving; it gets no new requests.")
+	EndpointCold      = register(4001, "endpoint_cold", warnLevel, "The endpoint restarted or became cold; its capacity is raised again as requests complete.")
+	EndpointReady     = register(4002, "endpoint_ready", infoLevel, "The endpoint accepts requests.")
+	EndpointNotReady  = register(4003, "endpoint_not_ready", warnLevel, "The endpoint is unreachable or not ready; it gets no requests.")
+	EndpointAdded     = register(4005, "endpoint_added", infoLevel, "An endpoint was registered.")
+	EndpointRemoved   = register(4006, "endpoint_removed", infoLevel, "An endpoint is no longer registered.")
+	EndpointShunned   = register(4007, "endpoint_shunned", warnLevel, "An endpoint fails requests or does not respond; it gets few requests until it serves them again.")
+	EndpointTrusted   = register(4008, "endpoint_trusted", infoLevel, "An endpoint that got few requests after failures serves requests again.")
+	EndpointPaused    = register(4009, "endpoint_paused", infoLevel, "An endpoint turned a request away and wants no more for the time `pause`.")
+	EndpointLimited   = register(4010, "endpoint_limited", infoLevel, "An endpoint takes no more than `per_second` requests a second from all entries; this entry sends it one each `interval`.")
+	EndpointUnlimited = register(4011, "endpoint_unlimited", infoLevel, "An endpoint no longer limits the rate of requests.")
+	EndpointLeaving   = register(4004, "endpoint_leaving", infoLevel, "The endpoint is leaving; it gets no new requests.")
 )
 
 // Events of the configuration and the key-value service.
--- a/pkg/sched/endpoint.go
+++ b/pkg/sched/endpoint.go
@@ -17,6 +17,8 @@
 	saidLeaving bool
 	// pausedUntil is the time before which the endpoint wants no requests.
 	pausedUntil time.Time
+	// limit is the rate of requests that the endpoint takes.
+	limit rateLimit
 	// unused is set if the endpoint isn't in the entry's subset of the endpoints that take
 	// requests. It then gets no new ones.
 	unused bool
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -39,16 +39,24 @@
 
 // RetryAfter returns how long a caller whose request was rejected with cause should
 // wait before it retries. That is until an endpoint takes requests again if all have asked
-// for a pause, and during an outage until the outage is expected to
+// for a pause or have a limit, and during an outage until the outage is expected to
 // end, with jitter, so that the callers don't all retry at once.
 func (s *Service) RetryAfter(cause error) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if pause := s.commonPause(s.now()); pause > 0 {
+	now := s.now()
+	if pause := s.commonPause(now); pause > 0 {
 		return pause + s.randomBelow(minRetryAfter)
 	}
+	if errors.Is(cause, ErrLimited) {
+		if perSecond, next := s.limitedRate(nil); next != nil {
+			// Callers who come back at different moments each find a request allowed.
+			wait := max(0, next.limit.nextSend.Sub(now)) + time.Duration(float64(len(s.waiting))/perSecond*float64(time.Second))
+			return max(minRetryAfter, wait) + s.randomBelow(max(minRetryAfter, time.Duration(float64(time.Second)/perSecond)))
+		}
+	}
 	if errors.Is(cause, ErrNoEndpoint) && !s.outageStart.IsZero() {
-		return max(minRetryAfter, s.expectedOutage()-s.now().Sub(s.outageStart)) + s.randomBelow(outageRetrySpread)
+		return max(minRetryAfter, s.expectedOutage()-now.Sub(s.outageStart)) + s.randomBelow(outageRetrySpread)
 	}
 	return minRetryAfter + s.randomBelow(minRetryAfter)
 }
@@ -84,8 +92,8 @@
 }
 
 // Acquire assigns a request to an endpoint, and waits at most the request's MaxWait
-// for a free slot. It fails with ErrFull, ErrNoEndpoint, ErrPaused, ErrQueueTimeout or the error
-// of ctx.
+// for a free slot. It fails with ErrFull, ErrNoEndpoint, ErrPaused, ErrLimited,
+// ErrQueueTimeout or the error of ctx.
 func (s *Service) Acquire(ctx context.Context, req Request) (Assignment, error) {
 	assignment, w, err := s.Admit(req)
 	if w == nil {
@@ -93,6 +101,10 @@
 	}
 	timer := time.NewTimer(req.MaxWait)
 	defer timer.Stop()
+	if wait := s.timeToLimitedSend(); wait > 0 && wait < req.MaxWait {
+		// No report or completion tells that a limit allows the next request.
+		defer time.AfterFunc(wait, s.assignDue).Stop()
+	}
 	select {
 	case assignment := <-w.assigned:
 		return assignment, nil
@@ -108,6 +120,24 @@
 	}
 }
 
+// timeToLimitedSend returns the time until the first endpoint takes a request, if all of
+// them have limits, and otherwise zero.
+func (s *Service) timeToLimitedSend() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, next := s.limitedRate(nil); next != nil {
+		return next.limit.nextSend.Sub(s.now())
+	}
+	return 0
+}
+
+// assignDue assigns queued requests that can be assigned now.
+func (s *Service) assignDue() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.assignWaiting(s.now())
+}
+
 // rejection returns nil if a request may be queued behind ahead others, and otherwise
 // the error to reject it with. While no endpoint takes requests, it may be queued only
 // if its caller won't retry, it has not been sent yet, and the outage is expected to end
@@ -121,6 +151,12 @@
 	if s.commonPause(now) > maxWait {
 		return ErrPaused
 	}
+	if perSecond, next := s.limitedRate(req.Tried); next != nil {
+		if wait := max(0, next.limit.nextSend.Sub(now)); wait > maxWait || float64(ahead) > (maxWait-wait).Seconds()*perSecond {
+			return limitedError{next.spec.ID()}
+		}
+		return nil
+	}
 	if verdict == pick.NoneAvailable || ahead > 0 && !s.outageStart.IsZero() {
 		expectedEnd := s.outageStart.Add(s.expectedOutage())
 		if !req.ClientRetry || s.outageStart.IsZero() || len(req.Tried) > 0 || expectedEnd.Sub(now) > maxWait {
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -365,7 +365,7 @@
 			// A host that hangs also stops its agent, and requests sent to it would run
 			// only after their callers have given up.
 			Unavailable: e.unused || e.draining || s.evacuated[e.spec.DataCentre()] || (e.notAccepting && !silent) || (silent && anyFreshReport),
-			Throttled:   now.Before(e.pausedUntil) || limit.Rate > 0 && e.isCold(now) && e.isThrottled(now, limit, s.randomBelow),
+			Throttled:   now.Before(e.pausedUntil) || e.isAtLimit(now) || limit.Rate > 0 && e.isCold(now) && e.isThrottled(now, limit, s.randomBelow),
 			Ejected:     e.ejected,
 			Tried:       tried[e.spec.ID()],
 		}
@@ -441,6 +441,7 @@
 		return Assignment{}, verdict
 	}
 	e.own++
+	e.takeFromLimit(now)
 	s.sends.add(now)
 	if e.isCold(now) {
 		e.coldSends = append(e.coldSends, now)
