internal/soak: a recovery is inferred only from requests after the last fault

TestPlantedFaultsAreFound/recover passed or failed by chance, and the check was blind in the same way in real runs: for up to 2.5 s after the last fault it counted requests that were answered before, and requests that hang never counted.

Change: only requests that began after the last fault count, and those that hang for over half a second count as not served.

Evidence: TestCallersServedOnlyCountsWhatFollowsAFault fails with the conditions of before for what came before the fault and for requests that hang.

--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -10,9 +10,13 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 // Bounds of the platform that the checks use, with the values of the users' sites.
@@ -311,19 +315,72 @@
 	}
 }
 
+// hangingAfter is how long a request may be unanswered before it counts as not served.
+const hangingAfter = 500 * time.Millisecond
+
 // callersServed reports whether at least 90% of the requests that started after
-// since were served, out of at least 50.
+// since were served, out of at least 50. Requests that hang count as not served.
 func (h *history) callersServed(since time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	all, served := 0, 0
+	all, served, now := 0, 0, time.Now()
 	for _, a := range h.calls {
-		if a.start.After(since) && !a.end.IsZero() && !strings.HasSuffix(a.path, "probe") {
-			all++
-			if a.served() {
-				served++
-			}
+		isPending := a.end.IsZero()
+		if !a.start.After(since) || isPending && now.Sub(a.start) < hangingAfter || strings.HasSuffix(a.path, "probe") {
+			continue
+		}
+		all++
+		if !isPending && a.served() {
+			served++
 		}
 	}
 	return all >= 50 && served*10 >= all*9
 }
+
+// TestCallersServedOnlyCountsWhatFollowsAFault guards against a recovery that is inferred
+// from answers before a fault, or from callers whose requests hang and don't count.
+func TestCallersServedOnlyCountsWhatFollowsAFault(t *testing.T) {
+	now := time.Now()
+	healed := now.Add(-time.Second)
+	record := func(count int, start, end time.Time, status int) []*callRecord {
+		var calls []*callRecord
+		for range count {
+			calls = append(calls, &callRecord{path: "/check/1", start: start, end: end, status: status})
+		}
+		return calls
+	}
+	before := record(100, healed.Add(-100*time.Millisecond), healed.Add(-50*time.Millisecond), http.StatusOK)
+	after := record(60, healed.Add(100*time.Millisecond), healed.Add(200*time.Millisecond), http.StatusOK)
+	testCases := []struct {
+		name  string
+		calls [][]*callRecord
+		want  bool
+	}{
+		{"served before the fault only", [][]*callRecord{before}, false},
+		{"served after the fault", [][]*callRecord{before, after}, true},
+		{"refused after the fault", [][]*callRecord{after, record(20, healed.Add(100*time.Millisecond), now, http.StatusServiceUnavailable)}, false},
+		{"hanging after the fault", [][]*callRecord{after, record(20, healed.Add(100*time.Millisecond), time.Time{}, 0)}, false},
+		{"just sent", [][]*callRecord{after, record(20, now.Add(-50*time.Millisecond), time.Time{}, 0)}, true},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHistory(nil)
+			for _, call := range slices.Concat(tc.calls...) {
+				h.calls[fmt.Sprint(len(h.calls))] = call
+			}
+			require.Equal(t, tc.want, h.callersServed(recoveryStart(healed, now)))
+		})
+	}
+}
+
+// recoveryWindow is the span of requests from which a recovery is inferred.
+const recoveryWindow = 3 * time.Second
+
+// recoveryStart returns the start of the requests from which a recovery after a fault that
+// ended at healed is inferred.
+func recoveryStart(healed, now time.Time) time.Time {
+	if recent := now.Add(-recoveryWindow); recent.After(healed) {
+		return recent
+	}
+	return healed
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -96,7 +96,7 @@
 	recovered := false
 	for time.Since(healed) < recoveryBound && !recovered {
 		time.Sleep(500 * time.Millisecond)
-		recovered = r.history.callersServed(time.Now().Add(-3*time.Second)) && r.site.group.Pass() > pass
+		recovered = r.history.callersServed(recoveryStart(healed, time.Now())) && r.site.group.Pass() > pass
 	}
 	if !recovered {
 		r.history.report("RECOVER", "callers aren't served %v after the last fault, or the group makes no progress", recoveryBound)
