--- a/pkg/group/doc.go
+++ b/pkg/group/doc.go
@@ -13,7 +13,8 @@
 //
 //	preparing   every rank copies the map
 //	holding     one rank holds the pass of the switch
-//	arming      every rank arms the map for that pass
+//	arming      every rank arms the map for that pass: the holding rank, the
+//	            leader's own, and then all others
 //	releasing   the hold is released once every rank is reported armed
 //	settling    every rank is reported to use the map
 //
@@ -25,6 +26,9 @@
 // after which an Arm of the old version is refused. Only then is the hold released.
 //
 // A new leader that finds a hold or armed ranks completes that switch if all ranks
-// can still be armed, and fences it otherwise. Leadership needs no lease: several
+// can still be armed, and fences it otherwise. A switch goes on without one rank that
+// no longer reports, if the order of arming or its last report shows whether it is
+// armed. A fence makes unarmed ranks prepare its version before it disarms any, so that
+// no leader completes a switch that another one has begun to fence. Leadership needs no lease: several
 // concurrent leaders cost time but can't make two maps run in one pass.
 package group
