--- a/pkg/sched/limit.go
+++ b/pkg/sched/limit.go
@@ -84,7 +84,7 @@
 	if shared.perEntry() >= 1 {
 		return time.Duration(float64(r.entries) / r.perSecond * float64(time.Second))
 	}
-	return shared.withPeriod().period * time.Duration(limitWindow/time.Second)
+	return shared.withPeriod().period * (limitWindow / time.Second)
 }
 
 // RecordLimit records the limit that an endpoint's answer shows, in requests per second
