--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -207,11 +207,14 @@
 	return path
 }
 
+// firstRankHost is the last part of the first rank's IP address. Entries have those from 1.
+const firstRankHost = 200
+
 // startRanks starts the group and one agent for each of its ranks.
 func (s *site) startRanks(network string, port, peer int) {
 	var addresses []string
 	for i := range ranks {
-		addresses = append(addresses, fmt.Sprintf("%s.%d:%d", network, 20+i, port))
+		addresses = append(addresses, fmt.Sprintf("%s.%d:%d", network, firstRankHost+i, port))
 	}
 	popularity := func(_, expert int) uint64 {
 		if expert == 0 {
