--- a/review/_stand/site.go
+++ b/review/_stand/site.go
@@ -20,6 +20,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -69,6 +70,7 @@
 	defer os.RemoveAll(dir)
 	s := &site{began: time.Now(), record: file, dir: dir, kv: stand.NewKV()}
 	defer s.stop()
+	go s.endEarly()
 	defer func() {
 		if cause := recover(); cause != nil {
 			var failure setupError
@@ -85,6 +87,24 @@
 	return code
 }
 
+// maxDuration limits a case.
+const maxDuration = 115 * time.Second
+
+// endEarly ends the case and its processes on a signal or after maxDuration.
+func (s *site) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case got := <-signals:
+		s.log("ended by %v", got)
+	case <-time.After(maxDuration):
+		s.log("the case takes too long")
+	}
+	s.stop()
+	_ = os.RemoveAll(s.dir)
+	os.Exit(couldNot)
+}
+
 // setupError ends a case that can't run.
 type setupError struct{ error }
 
@@ -145,7 +165,10 @@
 }
 
 func (s *site) stop() {
-	for _, p := range s.processes {
+	s.mu.Lock()
+	processes := slices.Clone(s.processes)
+	s.mu.Unlock()
+	for _, p := range processes {
 		p.kill()
 	}
 	if s.server != nil {
