internal/edge: blame only requests whose endpoint has crashed

Cause: each connection that ended counted as a crash of its endpoint. The ranks that live cut off their streams too, so about 100 streams became suspect at each crash, and the request at fault was evicted from the table of 32 suspects. Ruled out: the exchange between entries; each entry alone forgot the request as well.

Change: a failed attempt probes its endpoint. Requests at endpoints that are alive or leaving aren't blamed. The least suspicious request is evicted first, in pkg/blame too. Entries report when a suspect has run to completion. Suspects are in hellos while they are news, and in one of ten otherwise. Requests that are blocked while they are queued are refused.

The new tests fail on the code before: the fourth request reached a replica (502 in place of 503), and a part that crashed endpoints wasn't blocked.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -85,6 +85,8 @@
 	idle map[netip.AddrPort][]*conn
 	// opened counts the connections that have been opened.
 	opened int64
+	// probes holds the probes in progress.
+	probes map[netip.AddrPort]*probe
 }
 
 // conn is a connection to an endpoint.
@@ -227,22 +229,71 @@
 	return c, nil
 }
 
-// downTimeout limits the time to find out whether an endpoint is down. A host responds
-// within milliseconds, with a reset if nothing listens on the port.
-const downTimeout = 100 * time.Millisecond
+// Liveness is what the attempt to open a connection tells about an endpoint's process.
+type Liveness int
 
-// IsDown reports whether the host of an endpoint refuses connections to it. It returns
-// false if the host doesn't respond. A connection that is accepted becomes an idle one.
-func (p *Pool) IsDown(ctx context.Context, address netip.AddrPort) bool {
-	ctx, cancel := context.WithTimeout(ctx, downTimeout)
+const (
+	// Unknown means that the endpoint's host doesn't respond.
+	Unknown Liveness = iota
+	// Alive means that the endpoint accepts connections.
+	Alive
+	// Down means that the endpoint's host refuses connections.
+	Down
+)
+
+// probeTimeout limits the time of a probe. A host responds within milliseconds, with a
+// reset if nothing listens on the port.
+const probeTimeout = 100 * time.Millisecond
+
+// probe is a probe in progress. Done is closed once result is set.
+type probe struct {
+	done   chan struct{}
+	result Liveness
+}
+
+// Probe opens a connection to an endpoint to find out whether its process runs. An accepted
+// connection becomes an idle one. Concurrent probes of an endpoint share one connection,
+// since an endpoint that fails cuts off many requests at once. The result is Unknown if
+// ctx ends first.
+func (p *Pool) Probe(ctx context.Context, address netip.AddrPort) Liveness {
+	if ctx.Err() != nil {
+		return Unknown
+	}
+	p.mu.Lock()
+	running := p.probes[address]
+	if running == nil {
+		running = &probe{done: make(chan struct{})}
+		if p.probes == nil {
+			p.probes = make(map[netip.AddrPort]*probe)
+		}
+		p.probes[address] = running
+		go p.runProbe(address, running)
+	}
+	p.mu.Unlock()
+	select {
+	case <-running.done:
+		return running.result
+	case <-ctx.Done():
+		return Unknown
+	}
+}
+
+func (p *Pool) runProbe(address netip.AddrPort, running *probe) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	c, err := p.dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case err == nil:
+		running.result = Alive
+		c.expires = time.Now().Add(time.Duration(float64(defaultIdleTimeout) * idleTimeoutFraction))
+		p.putIdle(c)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		running.result = Down
 	}
-	c.expires = time.Now().Add(time.Duration(float64(defaultIdleTimeout) * idleTimeoutFraction))
-	p.putIdle(c)
-	return false
+	p.mu.Lock()
+	delete(p.probes, address)
+	p.mu.Unlock()
+	close(running.done)
 }
 
 // Response is an endpoint's response whose head has been read. It must be closed.
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -241,17 +241,17 @@
 	require.ErrorIs(t, err, conns.ErrNotSent)
 }
 
-// TestIsDown tells an endpoint whose process has ended from one that runs.
-func TestIsDown(t *testing.T) {
+// TestProbe tells an endpoint whose process has ended from one that runs.
+func TestProbe(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	address := netip.MustParseAddrPort(listener.Addr().String())
 	var pool conns.Pool
-	require.False(t, pool.IsDown(context.Background(), address))
+	require.Equal(t, conns.Alive, pool.Probe(context.Background(), address))
 	require.Equal(t, 1, pool.Idle(), "the connection is kept")
 	require.NoError(t, listener.Close())
-	require.True(t, pool.IsDown(context.Background(), address))
+	require.Equal(t, conns.Down, pool.Probe(context.Background(), address))
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	require.False(t, pool.IsDown(ctx, address), "unknown")
+	require.Equal(t, conns.Unknown, pool.Probe(ctx, address))
 }
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -89,7 +89,7 @@
 			}
 			break
 		}
-		if refusal := e.parts.checkQueued(r.parts); refusal != nil {
+		if refusal := r.checkQueued(); refusal != nil {
 			r.service.Release(assignment)
 			if r.mayHaveRun {
 				break
@@ -127,6 +127,15 @@
 	r.fail(ctx, forwarder, errorResponse)
 }
 
+// checkQueued returns why a request that was queued must not be sent, nil if it may be: what
+// crashes endpoints may have become known meanwhile.
+func (r *request) checkQueued() *refusal {
+	if r.entry.crashTracker.isBlocked(r.fingerprint) {
+		return errBlocked()
+	}
+	return r.entry.parts.checkQueued(r.parts)
+}
+
 // isResuming reports whether the request is a stream that continues at another endpoint:
 // the caller has already received events of it, or an earlier attempt may have run
 // without sending one.
@@ -155,8 +164,7 @@
 	case result == failed && ctx.Err() == nil:
 		r.service.RecordFailure(assignment, detail)
 		if detail != errSilent.Error() {
-			r.entry.crashTracker.recordCrash(r.fingerprint, assignment.Endpoint().Incarnation())
-			r.entry.parts.recordFailure(ctx, r, assignment)
+			r.recordCrash(ctx, assignment)
 		}
 	case result == notSent && ctx.Err() == nil, result == failed && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		r.service.RecordFailure(assignment, detail)
@@ -167,6 +175,26 @@
 	}
 }
 
+// recordCrash records that the endpoint of a failed attempt crashed, unless it is alive or
+// leaving. The connections to an endpoint also end when another rank of its group
+// crashes, and blaming its requests too would hide the one that causes the crashes among
+// all that were in progress.
+func (r *request) recordCrash(ctx context.Context, assignment sched.Assignment) {
+	if r.service.IsLeaving(assignment) {
+		return
+	}
+	endpoint := assignment.Endpoint()
+	liveness := r.entry.pool.Probe(ctx, endpoint.Address())
+	if liveness == conns.Alive {
+		return
+	}
+	r.entry.crashTracker.recordCrash(r.fingerprint, endpoint.Incarnation(), !r.answered.Load())
+	if liveness == conns.Down {
+		r.entry.parts.recordCrash(r, endpoint)
+	}
+	r.entry.peers.announceSuspects()
+}
+
 // retryLimits returns the current limits of the retry budget.
 func (r *request) retryLimits() retryLimits {
 	ratio, extra, window := r.entry.settings.Load().RetryBudget()
--- a/internal/edge/bounds_test.go
+++ b/internal/edge/bounds_test.go
@@ -84,7 +84,7 @@
 				send := func() {
 					if entry := entries[random.IntN(count)]; !entry.isBlocked(fp) {
 						died++
-						entry.recordCrash(fp, fmt.Sprintf("i-%d@1", died))
+						entry.recordCrash(fp, fmt.Sprintf("i-%d@1", died), true)
 					}
 				}
 				for died < blockThreshold {
@@ -92,7 +92,7 @@
 				}
 				for range roundsPerSecond {
 					for i, entry := range entries {
-						exported := entry.export()
+						exported := entry.export(false)
 						for _, member := range targets[i].next(members) {
 							if random.Float64() >= loss {
 								entries[index[member.Name()]].merge(exported)
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -15,39 +16,84 @@
 
 // Limits of the crash tracker.
 const (
-	// blockThreshold is the number of distinct endpoint incarnations that must be lost
-	// while running a request before it is blocked. Connection resets alone rarely
-	// hit the same request that often.
+	// blockThreshold is the number of distinct endpoint incarnations that must crash
+	// while they hold a request before it is blocked. A crash alone doesn't tell which of
+	// the endpoint's requests caused it.
 	blockThreshold = 3
-	// suspectTTL is how long a request stays suspect after the last lost endpoint.
+	// suspectTTL is how long a request stays suspect after the last crash.
 	suspectTTL = 2 * time.Minute
-	// maxSuspects limits the suspects that are stored and sent to peers; the oldest
-	// are evicted first.
-	maxSuspects = 32
+	// maxSuspects limits the suspects that are stored; the least suspicious ones are
+	// evicted first.
+	maxSuspects = 512
+	// maxSuspectCrashes limits the crashes that are stored of one suspect.
+	maxSuspectCrashes = 8
+	// maxReported limits the suspects that are sent to peers in one message, and
+	// maxReportedCompletions those that have run to completion.
+	maxReported, maxReportedCompletions = 24, 8
+	// suspectNewsTTL is how long each message to peers has a suspect after its record
+	// changed. Others are in the occasional full reports only.
+	suspectNewsTTL = 2 * time.Second
+	// completionTTL is how long peers are told that a suspect has run to completion.
+	completionTTL = 10 * time.Second
 )
 
-// crashTracker records requests that were running on endpoints when the connection
-// to those was lost. Entries share their records in hello datagrams.
+// crashTracker records requests that endpoints held when they crashed. Entries share
+// their records in hello datagrams.
 type crashTracker struct {
 	logger *zap.Logger
 
 	mu       sync.Mutex
 	suspects map[uint64]*suspect
-	// cleared holds when suspects last ran to completion here. Reports from peers
-	// about these requests are ignored until suspectTTL has passed.
-	cleared map[uint64]time.Time
 }
 
 // suspect is a request that may crash endpoints.
 type suspect struct {
-	// incarnations holds the endpoint incarnations that were lost while running the
-	// request, and lastAt is when the last one was added.
-	incarnations map[string]bool
-	lastAt       time.Time
+	// crashes holds when endpoint incarnations crashed, by the hash of their names.
+	crashes map[uint64]time.Time
+	// unanswered is set if one of them hadn't begun to answer the request. An endpoint that
+	// crashes on a request mostly does so as it begins.
+	unanswered bool
+	// completedAt is when the request last ran to completion, zero if it never did.
+	// Crashes before that don't count.
+	completedAt time.Time
+	// changedAt is when something was last learned about the request.
+	changedAt time.Time
+}
+
+// lastCrash returns the time of the last crash, zero if there is none.
+func (s *suspect) lastCrash() time.Time {
+	var last time.Time
+	for _, at := range s.crashes {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// isExpired reports whether nothing about the suspect matters any more.
+func (s *suspect) isExpired(now time.Time) bool {
+	return now.Sub(s.lastCrash()) >= suspectTTL && now.Sub(s.completedAt) >= suspectTTL
+}
+
+// compare orders suspects from the least to the most suspicious one. The number of crashes
+// goes first: one crash makes all requests of an endpoint suspect, so that those with a
+// single crash can be as many as all requests in progress.
+func (s *suspect) compare(other *suspect) int {
+	if byCrashes := cmp.Compare(len(s.crashes), len(other.crashes)); byCrashes != 0 {
+		return byCrashes
+	}
+	if s.unanswered != other.unanswered {
+		if other.unanswered {
+			return -1
+		}
+		return 1
+	}
+	return s.changedAt.Compare(other.changedAt)
 }
 
 func newCrashTracker(logger *zap.Logger) *crashTracker {
-	return &crashTracker{logger: logger, suspects: make(map[uint64]*suspect), cleared: make(map[uint64]time.Time)}
+	return &crashTracker{logger: logger, suspects: make(map[uint64]*suspect)}
 }
 
 // requestFingerprint returns a hash of a request's content. A caller's retries of a
@@ -67,75 +113,138 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.suspects[fingerprint]
-	return s != nil && len(s.incarnations) >= blockThreshold && time.Since(s.lastAt) < suspectTTL
+	return s != nil && len(s.crashes) >= blockThreshold && time.Since(s.lastCrash()) < suspectTTL
 }
 
-// recordCrash records that an endpoint incarnation was lost while running a request.
-func (c *crashTracker) recordCrash(fingerprint uint64, incarnation string) {
+// recordCrash records that an endpoint incarnation crashed while it held a request.
+// Unanswered is set if it hadn't begun to answer.
+func (c *crashTracker) recordCrash(fingerprint uint64, incarnation string, unanswered bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.add(fingerprint, incarnation, time.Now())
+	now := time.Now()
+	c.add(fingerprint, xxhash.Sum64String(incarnation), unanswered, now, now)
 }
 
-// add adds an endpoint incarnation to a suspect. The caller holds c.mu.
-func (c *crashTracker) add(fingerprint uint64, incarnation string, now time.Time) {
+// add adds a crash to a suspect. The caller holds c.mu.
+func (c *crashTracker) add(fingerprint, incarnation uint64, unanswered bool, at, now time.Time) {
 	s := c.suspects[fingerprint]
+	if s != nil && !at.After(s.completedAt) {
+		return
+	}
 	if s == nil {
-		if len(c.suspects) >= maxSuspects {
-			oldest := slices.MinFunc(slices.Collect(maps.Keys(c.suspects)), func(a, b uint64) int {
-				return c.suspects[a].lastAt.Compare(c.suspects[b].lastAt)
-			})
-			delete(c.suspects, oldest)
-		}
-		s = &suspect{incarnations: make(map[string]bool)}
-		c.suspects[fingerprint] = s
+		s = c.insert(fingerprint, now)
 	}
-	if s.incarnations[incarnation] {
+	if _, known := s.crashes[incarnation]; known || len(s.crashes) >= maxSuspectCrashes {
 		return
 	}
-	s.incarnations[incarnation] = true
-	s.lastAt = now
-	if len(s.incarnations) == blockThreshold {
-		event.RequestIsolated.Log(c.logger, zap.Uint64("fingerprint", fingerprint), zap.Int("endpoints", len(s.incarnations)))
+	s.crashes[incarnation] = at
+	s.unanswered = s.unanswered || unanswered
+	s.changedAt = now
+	if len(s.crashes) == blockThreshold {
+		event.RequestIsolated.Log(c.logger, zap.Uint64("fingerprint", fingerprint), zap.Int("endpoints", len(s.crashes)))
+	}
+}
+
+// insert adds a suspect without crashes, and evicts one if there are maxSuspects. The
+// caller holds c.mu.
+func (c *crashTracker) insert(fingerprint uint64, now time.Time) *suspect {
+	if len(c.suspects) >= maxSuspects {
+		delete(c.suspects, slices.MinFunc(slices.Collect(maps.Keys(c.suspects)), c.compare))
 	}
+	s := &suspect{crashes: make(map[uint64]time.Time), changedAt: now}
+	c.suspects[fingerprint] = s
+	return s
 }
 
+// compare orders two suspects as suspect.compare does. The caller holds c.mu.
+func (c *crashTracker) compare(a, b uint64) int { return c.suspects[a].compare(c.suspects[b]) }
+
 // recordSuccess clears a suspect that ran to completion.
 func (c *crashTracker) recordSuccess(fingerprint uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.suspects[fingerprint] != nil {
-		delete(c.suspects, fingerprint)
-		c.cleared[fingerprint] = time.Now()
+	if s := c.suspects[fingerprint]; s != nil {
+		now := time.Now()
+		s.complete(now, now)
+	}
+}
+
+// complete removes the crashes up to the time at which the request ran to completion.
+func (s *suspect) complete(at, now time.Time) {
+	if !at.After(s.completedAt) {
+		return
+	}
+	s.completedAt = at
+	before := len(s.crashes)
+	maps.DeleteFunc(s.crashes, func(_ uint64, crashedAt time.Time) bool { return !crashedAt.After(at) })
+	if len(s.crashes) == 0 {
+		s.unanswered = false
+	}
+	if len(s.crashes) < before {
+		s.changedAt = now
 	}
 }
 
-// export returns the current suspects for peers and drops expired records.
-func (c *crashTracker) export() []*wirepb.Suspect {
+// export returns reports for peers, the most suspicious requests first: on those whose
+// record has changed recently, or on all. It drops expired records.
+func (c *crashTracker) export(all bool) []*wirepb.Suspect {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	maps.DeleteFunc(c.cleared, func(_ uint64, at time.Time) bool { return time.Since(at) >= suspectTTL })
+	now := time.Now()
+	maps.DeleteFunc(c.suspects, func(_ uint64, s *suspect) bool { return s.isExpired(now) })
 	var exported []*wirepb.Suspect
-	for fingerprint, s := range c.suspects {
-		if time.Since(s.lastAt) >= suspectTTL {
-			delete(c.suspects, fingerprint)
+	completions := 0
+	for _, fingerprint := range slices.SortedFunc(maps.Keys(c.suspects), func(a, b uint64) int { return c.compare(b, a) }) {
+		s := c.suspects[fingerprint]
+		if !all && now.Sub(s.changedAt) >= suspectNewsTTL {
+			continue
+		}
+		if len(s.crashes) == 0 {
+			if now.Sub(s.completedAt) >= completionTTL || completions >= maxReportedCompletions {
+				continue
+			}
+			completions++
+		} else if len(exported) >= maxReported {
 			continue
 		}
-		exported = append(exported, &wirepb.Suspect{Fingerprint: fingerprint, Endpoints: slices.Collect(maps.Keys(s.incarnations))})
+		exported = append(exported, s.encode(fingerprint, now))
 	}
 	return exported
 }
 
-// merge adds the suspects that a peer reported, except those cleared here.
+// encode encodes a report on the suspect.
+func (s *suspect) encode(fingerprint uint64, now time.Time) *wirepb.Suspect {
+	wire := &wirepb.Suspect{Fingerprint: fingerprint, Unanswered: s.unanswered}
+	for incarnation, at := range s.crashes {
+		wire.Crashes = append(wire.Crashes, &wirepb.Crash{Incarnation: incarnation, AgeMs: ageMS(now.Sub(at))})
+	}
+	if !s.completedAt.IsZero() {
+		age := ageMS(now.Sub(s.completedAt))
+		wire.CompletedAgeMs = &age
+	}
+	return wire
+}
+
+// ageMS returns an age in milliseconds, rounded up, so that a crash never seems to be
+// later than a completion that followed it.
+func ageMS(age time.Duration) uint32 {
+	return uint32(max(0, min(age, time.Hour)).Milliseconds()) + 1
+}
+
+// merge adds the reports of a peer.
 func (c *crashTracker) merge(reported []*wirepb.Suspect) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, r := range reported {
-		if _, cleared := c.cleared[r.GetFingerprint()]; cleared {
-			continue
+	now := time.Now()
+	since := func(ageMS uint32) time.Time { return now.Add(-time.Duration(ageMS) * time.Millisecond) }
+	for _, report := range reported {
+		for _, crash := range report.GetCrashes() {
+			if at := since(crash.GetAgeMs()); now.Sub(at) < suspectTTL {
+				c.add(report.GetFingerprint(), crash.GetIncarnation(), report.GetUnanswered(), at, now)
+			}
 		}
-		for _, incarnation := range r.GetEndpoints() {
-			c.add(r.GetFingerprint(), incarnation, time.Now())
+		if s := c.suspects[report.GetFingerprint()]; s != nil && report.CompletedAgeMs != nil {
+			s.complete(since(report.GetCompletedAgeMs()), now)
 		}
 	}
 }
--- a/internal/edge/parts.go
+++ b/internal/edge/parts.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -12,7 +11,7 @@
 	"github.com/lentilstand/lentilstand/internal/parts"
 	"github.com/lentilstand/lentilstand/internal/wirepb"
 	"github.com/lentilstand/lentilstand/pkg/blame"
-	"github.com/lentilstand/lentilstand/pkg/sched"
+	"github.com/lentilstand/lentilstand/pkg/table"
 )
 
 // settledEvents is the number of events after which an attempt at a stream counts as
@@ -74,19 +73,16 @@
 	parts.LogChanges(&g.tracker, g.entry.logger)
 }
 
-// recordFailure records a crash if the endpoint of a failed attempt is down. The
-// connections to an endpoint also end when it leaves, and when another rank of its group
-// crashes.
-func (g *partGuard) recordFailure(ctx context.Context, r *request, assignment sched.Assignment) {
-	endpoint := assignment.Endpoint()
-	if len(r.parts) == 0 || r.answered.Load() || r.service.IsLeaving(assignment) || !g.entry.pool.IsDown(ctx, endpoint.Address()) {
+// recordCrash records that an endpoint crashed while it held the request, unless it had
+// begun to answer it.
+func (g *partGuard) recordCrash(r *request, endpoint *table.Endpoint) {
+	if len(r.parts) == 0 || r.answered.Load() {
 		return
 	}
 	event.PartSuspected.Log(g.entry.logger, zap.String("request", r.head.ID), zap.String("endpoint", endpoint.ID()),
 		zap.Strings("ids", r.head.SharedParts), zap.String("parts", parts.Format(r.parts...)))
 	g.tracker.RecordCrash(r.parts, endpoint.Incarnation(), time.Now())
 	parts.LogChanges(&g.tracker, g.entry.logger)
-	g.entry.peers.announceParts()
 }
 
 // merge adds what a peer knows about suspect parts.
--- a/internal/edge/parts_test.go
+++ b/internal/edge/parts_test.go
@@ -130,3 +130,28 @@
 	<-queued
 	require.Equal(t, http.StatusOK, s.call(0, http.MethodPost, "/draft/1", "", prompt(11, "c0:40")).status)
 }
+
+// TestRequestThatCrashesReplicasIsBlockedAmongManyStreams guards against a request that
+// crashes replicas being forgotten because each crash also cuts off the streams at other
+// replicas, as the ranks of a group do.
+func TestRequestThatCrashesReplicasIsBlockedAmongManyStreams(t *testing.T) {
+	s := startSite(t, "i-1", "i-2", "i-3", "i-4", "i-5")
+	for _, r := range s.replicas {
+		r.SetDeadlyPart("dead01")
+	}
+	// The only part of the prompt isn't shared, so that the request counts as a whole.
+	deadly := map[string]string{"Lentilstand-Token-Counts": "100,40", "Lentilstand-Prompt-Prefix": "dead01:100"}
+	for range 3 {
+		require.Equal(t, http.StatusBadGateway, s.call(0, http.MethodPost, "/once/1", "deadly", deadly).status)
+		const streams = 40
+		for n := range streams {
+			s.script.Add(fakes.ResetConnection)
+			s.call(0, http.MethodPost, "/once/1", fmt.Sprint("sound ", n), streamHeader)
+		}
+		time.Sleep(time.Second)
+	}
+	before := s.received()
+	got := s.call(0, http.MethodPost, "/once/1", "deadly", deadly)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, before, s.received())
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -29,6 +29,9 @@
 	helloFanout = 8
 	// subscribePeriod is how often subscriptions at agents are renewed.
 	subscribePeriod = time.Second
+	// fullReportInterval is the mean number of rounds of hellos from one that reports all
+	// suspects to the next. They are random rounds, since each round goes to other members.
+	fullReportInterval = 10
 	// startupPeriod is how long after its start a process asks for reports on suspect parts
 	// with each of its hellos.
 	startupPeriod = 2 * time.Second
@@ -177,7 +180,7 @@
 // sendHellos announces this entry's revision to the next members in turn.
 func (p *peers) sendHellos() {
 	e := p.entry
-	message := p.helloMessage(e.storeSyncer.revision(), e.storeSyncer.isWatching())
+	message := p.helloMessage(e.storeSyncer.revision(), e.storeSyncer.isWatching(), rand.IntN(fullReportInterval) == 0)
 	for _, member := range p.targets.next(e.view.Load().Members()) {
 		p.send(member, message)
 	}
@@ -190,30 +193,30 @@
 	if len(members) <= maxAllWatching {
 		return
 	}
-	message := p.helloMessage(revision, true)
+	message := p.helloMessage(revision, true, false)
 	for _, member := range members {
 		p.send(member, message)
 	}
 }
 
-// announceParts tells all members at once what this entry knows about suspect parts.
-// Hellos in turn take seconds in a large fleet, in which further endpoints may crash.
-func (p *peers) announceParts() {
-	message := p.helloMessage(p.entry.storeSyncer.revision(), p.entry.storeSyncer.isWatching())
+// announceSuspects tells all members at once which suspects have changed. Hellos in turn
+// take seconds in a large fleet, in which further endpoints may crash.
+func (p *peers) announceSuspects() {
+	message := p.helloMessage(p.entry.storeSyncer.revision(), p.entry.storeSyncer.isWatching(), false)
 	for _, member := range p.entry.view.Load().Members() {
 		p.send(member, message)
 	}
 }
 
-// sendSuspects sends all that this entry knows about suspect parts to an entry that has
-// just started, and that would send requests with them to endpoints until it hears of them.
+// sendSuspects sends all that this entry knows about suspects to an entry that has just
+// started, and that would send them to endpoints until it hears of them.
 func (p *peers) sendSuspects(address netip.AddrPort) {
-	reports := p.entry.parts.tracker.ExportAll(time.Now())
-	if len(reports) == 0 {
+	message := p.helloMessage(p.entry.storeSyncer.revision(), p.entry.storeSyncer.isWatching(), true)
+	hello := message.GetHello()
+	if len(hello.GetParts()) == 0 && len(hello.GetSuspects()) == 0 {
 		return
 	}
-	message := p.helloMessage(p.entry.storeSyncer.revision(), p.entry.storeSyncer.isWatching())
-	message.GetHello().Parts, message.GetHello().Starting = parts.Encode(reports), false
+	hello.Starting = false
 	p.entry.socket.Send(message, address)
 }
 
@@ -224,13 +227,19 @@
 	return time.Since(p.startedAt) < startupPeriod
 }
 
-func (p *peers) helloMessage(revision uint64, watching bool) *wirepb.Datagram {
+// helloMessage returns a hello. It has all suspects if full is set, otherwise those that
+// have changed recently.
+func (p *peers) helloMessage(revision uint64, watching, full bool) *wirepb.Datagram {
+	reports := p.entry.parts.tracker.Export(time.Now())
+	if full {
+		reports = p.entry.parts.tracker.ExportAll(time.Now())
+	}
 	hello := &wirepb.Hello{
 		Name:     p.entry.settings.Load().Name(),
 		Revision: revision,
-		Suspects: p.entry.crashTracker.export(),
+		Suspects: p.entry.crashTracker.export(full),
 		Watching: watching,
-		Parts:    parts.Encode(p.entry.parts.tracker.Export(time.Now())),
+		Parts:    parts.Encode(reports),
 		Starting: p.isStarting(),
 		Limits:   encodeLimits(p.entry.allServices()),
 	}
--- a/internal/parts/parts.go
+++ b/internal/parts/parts.go
@@ -50,7 +50,7 @@
 	for _, report := range reports {
 		wire := &wirepb.SuspectPart{Part: uint64(report.Part()), Blocked: report.Blocked()}
 		for _, crash := range report.Crashes() {
-			wire.Crashes = append(wire.Crashes, &wirepb.PartCrash{Incarnation: crash.Incarnation(), AgeMs: toMilliseconds(crash.Age())})
+			wire.Crashes = append(wire.Crashes, &wirepb.Crash{Incarnation: crash.Incarnation(), AgeMs: toMilliseconds(crash.Age())})
 		}
 		if age, proven := report.Answer(); proven {
 			ms := toMilliseconds(age)
--- a/pkg/blame/blame_test.go
+++ b/pkg/blame/blame_test.go
@@ -224,6 +224,28 @@
 	require.Empty(t, h.tracker.ExportAll(h.now))
 }
 
+// TestPartsOnTheWayToBeBlockedAreKept guards against a part that crashes endpoints being
+// forgotten among the parts of other requests that the same crashes cut off.
+func TestPartsOnTheWayToBeBlockedAreKept(t *testing.T) {
+	h, peer := newHistory(), newHistory()
+	h.answer(deadly)
+	for range 3 {
+		h.sleep(5 * time.Second)
+		peer.now = h.now
+		h.crash(deadly)
+		for n := range 100 {
+			bystander := blame.Part(1000*h.crashes + n)
+			h.answer(bystander)
+			h.sleep(time.Millisecond)
+			h.tracker.RecordCrash([]blame.Part{bystander}, fmt.Sprint("i-", h.crashes), h.now)
+		}
+		peer.now = h.now
+		peer.tracker.Merge(h.tracker.Export(h.now), peer.now)
+	}
+	require.False(t, h.passes(false, deadly))
+	require.False(t, peer.passes(false, deadly))
+}
+
 func ExampleTracker() {
 	var tracker blame.Tracker
 	now := time.Unix(1000, 0)
--- a/pkg/blame/report.go
+++ b/pkg/blame/report.go
@@ -4,10 +4,8 @@
 
 // Limits of the exchange of reports.
 const (
-	// newsTTL is how long each export contains a suspect after its record changed. Others
-	// are exported once in fullPeriod, for entries that have missed the news.
-	newsTTL    = 2 * time.Second
-	fullPeriod = 2 * time.Second
+	// newsTTL is how long each export contains a suspect after its record changed.
+	newsTTL = 2 * time.Second
 	// maxReports limits the reports of one export.
 	maxReports = 24
 )
@@ -68,31 +66,28 @@
 // Blocked reports whether the entry blocks the part.
 func (r Report) Blocked() bool { return r.blocked }
 
-// Export returns reports for all other entries: on the parts whose record has changed, and
-// from time to time on all.
+// Export returns reports on the parts whose record has changed recently.
 func (t *Tracker) Export(now time.Time) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := now.Sub(t.exportedAt) >= fullPeriod
-	if all {
-		t.exportedAt = now
-	}
-	return t.reports(all, now)
+	return t.reports(false, now)
 }
 
-// ExportAll returns reports on all suspect parts, for an entry that knows of none.
+// ExportAll returns reports on all suspect parts, for entries that have just started or
+// that have missed the news.
 func (t *Tracker) ExportAll(now time.Time) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.reports(true, now)
 }
 
-// reports returns reports on the parts whose record has changed recently, or on all. The
-// caller holds t.mu.
+// reports returns reports on the parts whose record has changed recently, or on all, the most
+// suspicious first. The caller holds t.mu.
 func (t *Tracker) reports(all bool, now time.Time) []Report {
 	t.updateBlocked(now)
 	var reports []Report
-	for part, s := range t.suspects {
+	for _, part := range t.rank() {
+		s := t.suspects[part]
 		if !all && now.Sub(s.changedAt) >= newsTTL {
 			continue
 		}
--- a/pkg/blame/tracker.go
+++ b/pkg/blame/tracker.go
@@ -1,6 +1,7 @@
 package blame
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"sync"
@@ -38,9 +39,8 @@
 	// don't block it, and blockTTL if they do.
 	suspectTTL = 2 * time.Minute
 	blockTTL   = time.Hour
-	// maxSuspects limits the suspect parts. The one whose record changed longest ago is
-	// evicted first, preferably one that isn't blocked.
-	maxSuspects = 64
+	// maxSuspects limits the suspect parts. The least suspicious one is evicted first.
+	maxSuspects = 256
 	// maxCrashes limits the crashes that are kept of one part.
 	maxCrashes = 8
 )
@@ -81,9 +81,7 @@
 	answers  answers
 	// firstAnswer is when an endpoint first answered a request of this tracker.
 	firstAnswer time.Time
-	// exportedAt is when Export last returned all suspects.
-	exportedAt time.Time
-	changes    []Change
+	changes     []Change
 }
 
 // suspect is the record of a part that was in requests at endpoints that crashed.
@@ -171,7 +169,7 @@
 func (t *Tracker) addCrash(part Part, incarnation uint64, at, now time.Time) {
 	s := t.suspects[part]
 	if s == nil {
-		t.makeRoom(now)
+		t.makeRoom()
 		if t.suspects == nil {
 			t.suspects = make(map[Part]*suspect)
 		}
@@ -199,21 +197,50 @@
 	delete(s.crashes, oldest)
 }
 
-// makeRoom evicts a suspect if there are maxSuspects. The caller holds t.mu.
-func (t *Tracker) makeRoom(now time.Time) {
-	if len(t.suspects) < maxSuspects {
-		return
+// makeRoom evicts the least suspicious part if there are maxSuspects. The caller holds t.mu.
+func (t *Tracker) makeRoom() {
+	if len(t.suspects) >= maxSuspects {
+		ranked := t.rank()
+		delete(t.suspects, ranked[len(ranked)-1])
+	}
+}
+
+// rank returns the suspect parts, the most suspicious first: those that are blocked, then
+// those that were never answered, then those with more crashes since their last answer. A
+// crash makes all parts of an endpoint's requests suspect, so that those of a single crash
+// can be as many as all parts in use. The caller holds t.mu.
+func (t *Tracker) rank() []Part {
+	type suspicion struct {
+		part            Part
+		blocked, proven bool
+		crashes         int
+		changedAt       time.Time
 	}
-	var victim Part
-	var victimBlocked bool
-	var oldest *suspect
+	suspicions := make([]suspicion, 0, len(t.suspects))
 	for part, s := range t.suspects {
-		blocked := t.isBlocked(part, now)
-		if oldest == nil || victimBlocked && !blocked || victimBlocked == blocked && s.changedAt.Before(oldest.changedAt) {
-			victim, victimBlocked, oldest = part, blocked, s
+		answered, proven := t.answers.last(part)
+		suspicions = append(suspicions, suspicion{
+			part: part, blocked: s.blocked, proven: proven, crashes: len(s.since(answered)), changedAt: s.changedAt,
+		})
+	}
+	first := func(a, b bool) int {
+		switch {
+		case a == b:
+			return 0
+		case a:
+			return -1
+		default:
+			return 1
 		}
 	}
-	delete(t.suspects, victim)
+	slices.SortFunc(suspicions, func(a, b suspicion) int {
+		return cmp.Or(first(a.blocked, b.blocked), first(!a.proven, !b.proven), cmp.Compare(b.crashes, a.crashes), b.changedAt.Compare(a.changedAt))
+	})
+	parts := make([]Part, 0, len(suspicions))
+	for _, s := range suspicions {
+		parts = append(parts, s.part)
+	}
+	return parts
 }
 
 // Check returns whether a request with the parts must be refused because one of them is
