internal/entry: write crashes that the store missed, and bound them

A request that crashed an endpoint while the key-value service was away was isolated at one entry only, so that it could crash further endpoints through the others; the crash stayed in memory for ever, and the map had no bound.

Change: crashes that couldn't be written are written when the service responds again, unless its records show that a write without an answer succeeded. They expire with the time that records are kept, and at most 1,024 wait.

Before: no code wrote them again, and the tests can't pass without it (TestCrashesDuringAnOutageReachOtherEntries needs retryWrites, which is new).

--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -15,24 +15,74 @@
 	"github.com/lentilstand/lentilstand/pkg/store"
 )
 
-// crashWriteTimeout bounds writing or deleting a crash record.
-const crashWriteTimeout = 2 * time.Second
+const (
+	// crashWriteTimeout bounds writing or deleting a crash record.
+	crashWriteTimeout = 2 * time.Second
+	// maxLocalCrashes limits the crashes that wait to be written to the store. One crash
+	// makes all requests of an endpoint suspect.
+	maxLocalCrashes = 1024
+)
 
 // crashTracker tracks the requests that crashed endpoints. Shared holds the records
 // from the key-value store. Local holds the crashes that this entry observed and
-// has not written to the store, for example because it is unreachable; the value
-// is true if the request was the only one on the endpoint.
+// has not written to the store, for example because it is unreachable.
 type crashTracker struct {
 	store  crash.Store
 	logger *zap.Logger
 
 	mu     sync.RWMutex
 	shared map[string]crash.Record
-	local  map[string]bool
+	local  map[string]localCrash
+}
+
+// localCrash is a crash that isn't in the store.
+type localCrash struct {
+	// alone is set if the request was the only one on the endpoint.
+	alone bool
+	at    time.Time
+	// writing is set while the crash is being written.
+	writing bool
 }
 
 func newCrashTracker(s crash.Store, logger *zap.Logger) *crashTracker {
-	return &crashTracker{store: s, logger: logger, local: make(map[string]bool)}
+	return &crashTracker{store: s, logger: logger, local: make(map[string]localCrash)}
+}
+
+// addLocal adds a crash that is about to be written. If there are maxLocalCrashes, the
+// oldest one is evicted, preferably one that other requests may have caused.
+func (c *crashTracker) addLocal(fingerprint string, alone bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, isKnown := c.local[fingerprint]
+	if !isKnown && len(c.local) >= maxLocalCrashes {
+		victim := ""
+		for other, l := range c.local {
+			if v, found := c.local[victim]; !found || v.alone && !l.alone || v.alone == l.alone && l.at.Before(v.at) {
+				victim = other
+			}
+		}
+		delete(c.local, victim)
+	}
+	c.local[fingerprint] = localCrash{alone: known.alone || alone, at: time.Now(), writing: true}
+}
+
+// retryWrites writes the crashes that couldn't be written before, and drops those that are
+// as old as the store keeps them. It is called when the store has responded.
+func (c *crashTracker) retryWrites() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for fingerprint, l := range c.local {
+		switch state := c.shared[fingerprint].State(); {
+		case l.writing:
+		case time.Since(l.at) >= crash.TTL, state == crash.Blocked, state == crash.Isolated && !l.alone:
+			// If the answer to the write was lost, the store shows that it succeeded.
+			delete(c.local, fingerprint)
+		default:
+			l.writing = true
+			c.local[fingerprint] = l
+			go c.write(fingerprint, l.alone)
+		}
+	}
 }
 
 // update replaces the shared records with those in the snapshot.
@@ -56,9 +106,9 @@
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	state := c.shared[fingerprint].State()
-	if blocked, ok := c.local[fingerprint]; ok {
+	if l, ok := c.local[fingerprint]; ok && time.Since(l.at) < crash.TTL {
 		state = max(state, crash.Isolated)
-		if blocked {
+		if l.alone {
 			state = crash.Blocked
 		}
 	}
@@ -68,9 +118,12 @@
 // reportCrash records that an endpoint crashed while it ran the request. Alone
 // reports that it ran no other request, so that this one caused the crash.
 func (c *crashTracker) reportCrash(fingerprint string, alone bool) {
-	c.mu.Lock()
-	c.local[fingerprint] = c.local[fingerprint] || alone
-	c.mu.Unlock()
+	c.addLocal(fingerprint, alone)
+	c.write(fingerprint, alone)
+}
+
+// write writes a local crash to the store, and keeps it for retryWrites if that fails.
+func (c *crashTracker) write(fingerprint string, alone bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashWriteTimeout)
 	defer cancel()
 	record, err := crash.RecordCrash(ctx, c.store, fingerprint, alone)
@@ -79,15 +132,20 @@
 		zap.Bool("alone", alone),
 		zap.Int("deaths", record.Crashes()),
 		event.Error(err))
-	if err == nil {
-		c.mu.Lock()
-		delete(c.local, fingerprint)
-		if c.shared == nil {
-			c.shared = make(map[string]crash.Record)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		if l, ok := c.local[fingerprint]; ok {
+			l.writing = false
+			c.local[fingerprint] = l
 		}
-		c.shared[fingerprint] = record
-		c.mu.Unlock()
+		return
+	}
+	delete(c.local, fingerprint)
+	if c.shared == nil {
+		c.shared = make(map[string]crash.Record)
 	}
+	c.shared[fingerprint] = record
 }
 
 // clear deletes the record of a request that completed while it ran alone.
--- /dev/null
+++ b/internal/entry/crashes_test.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/lentilstand/lentilstand/internal/stand"
+	"github.com/lentilstand/lentilstand/pkg/crash"
+	"github.com/lentilstand/lentilstand/pkg/store"
+)
+
+// crashStore is a crash.Store in memory that can be unavailable.
+type crashStore struct {
+	kv   *stand.KV
+	down atomic.Bool
+}
+
+func (s *crashStore) err() error {
+	if s.down.Load() {
+		return store.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *crashStore) Read(_ context.Context, prefixes ...string) (store.Snapshot, error) {
+	return s.kv.Read(prefixes), s.err()
+}
+
+func (s *crashStore) Put(_ context.Context, key string, value []byte, expect, lease uint64) (uint64, error) {
+	if err := s.err(); err != nil {
+		return 0, err
+	}
+	return s.kv.Put(key, value, expect, lease)
+}
+
+func (s *crashStore) Delete(_ context.Context, key string, expect uint64) error {
+	if err := s.err(); err != nil {
+		return err
+	}
+	return s.kv.Delete(key, expect)
+}
+
+func (s *crashStore) Grant(_ context.Context, ttl time.Duration) (uint64, error) {
+	return s.kv.Grant(ttl), s.err()
+}
+
+// TestCrashesDuringAnOutageReachOtherEntries guards against a request that crashes endpoints
+// being known to one entry only, because the store was away at that moment.
+func TestCrashesDuringAnOutageReachOtherEntries(t *testing.T) {
+	s := &crashStore{kv: stand.NewKV()}
+	local, other := newCrashTracker(s, zap.NewNop()), newCrashTracker(s, zap.NewNop())
+	s.down.Store(true)
+	local.reportCrash("deadly", true)
+	require.Equal(t, crash.Blocked, local.state("deadly"))
+	s.down.Store(false)
+	local.retryWrites()
+	require.Eventually(t, func() bool {
+		other.update(s.kv.Read([]string{crash.Prefix}))
+		return other.state("deadly") == crash.Blocked
+	}, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { local.mu.RLock(); defer local.mu.RUnlock(); return len(local.local) == 0 }, time.Second, time.Millisecond)
+}
+
+// TestUnwrittenCrashesAreBounded guards against memory that grows, and requests that stay
+// isolated, with each crash that can't be written.
+func TestUnwrittenCrashesAreBounded(t *testing.T) {
+	s := &crashStore{kv: stand.NewKV()}
+	s.down.Store(true)
+	c := newCrashTracker(s, zap.NewNop())
+	c.reportCrash("deadly", true)
+	for n := range 2 * maxLocalCrashes {
+		c.reportCrash(fmt.Sprint("bystander ", n), false)
+	}
+	require.LessOrEqual(t, len(c.local), maxLocalCrashes)
+	require.Equal(t, crash.Blocked, c.state("deadly"))
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -108,6 +108,7 @@
 
 // handleSnapshot processes the result of a watch that was sent at sentAt.
 func (f *follower) handleSnapshot(ctx context.Context, snapshot store.Snapshot, sentAt time.Time) error {
+	defer f.crashes.retryWrites()
 	if snapshot.IsUnchanged() {
 		f.mu.Lock()
 		view := f.kvView
