pkg/blame: tell the parts of a crash apart

Cause: a crash blocked all parts that were never answered, and nothing recorded which of them had been together, so that a request with only one of them was refused like the one that crashed the replica.

Change: while a crash has several candidates, a request that lacks one of them is sent as a test, one at a time over all entries, from 1 s after the crash. A part at more crashes than the others of one is its culprit: it isn't tested, and the others aren't blocked by that crash. A request becomes the probe when it is sent, in internal/edge and internal/entry.

TestSoundPartBesideADeadlyOneIsServed and TestSoundMessageBesideADeadlyOneIsServed fail on the code before ("Condition never satisfied").

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -73,7 +73,8 @@
 	dials := 0
 	var errorResponse *bufferedResponse
 	forwarder := &streamForwarder{request: r}
-	for r.sendCount == 0 || !e.parts.isBlocked(r.parts) {
+	defer e.parts.cancelProbe(r)
+	for r.sendCount == 0 || !e.parts.isBlocked(r) {
 		if r.sendCount > 0 && !e.budget.takeRetry(r.service.Name(), time.Now(), limits) {
 			event.RetryDenied.Log(e.logger, zap.String("request", r.head.ID), zap.String("service", r.service.Name()))
 			break
@@ -89,7 +90,7 @@
 			}
 			break
 		}
-		if refusal := r.checkQueued(); refusal != nil {
+		if refusal := r.checkSend(); refusal != nil {
 			r.service.Release(assignment)
 			if r.mayHaveRun {
 				break
@@ -101,6 +102,7 @@
 		at := time.Since(r.receivedAt)
 		result, response, detail := r.send(ctx, assignment, forwarder)
 		r.service.Release(assignment)
+		r.reachedEndpoint = r.reachedEndpoint || result != notSent && result != notRun
 		r.attempts = append(r.attempts, attempt{endpoint: assignment.Endpoint().ID(), at: at, detail: detail})
 		if response != nil {
 			errorResponse = response
@@ -127,13 +129,13 @@
 	r.fail(ctx, forwarder, errorResponse)
 }
 
-// checkQueued returns why a request that was queued must not be sent, nil if it may be: what
-// crashes endpoints may have become known meanwhile.
-func (r *request) checkQueued() *refusal {
+// checkSend returns why the request must not be sent to an endpoint, nil if it may be. What
+// crashes endpoints may have become known while it was queued.
+func (r *request) checkSend() *refusal {
 	if r.entry.crashTracker.isBlocked(r.fingerprint) {
 		return errBlocked()
 	}
-	return r.entry.parts.checkQueued(r.parts)
+	return r.entry.parts.checkSend(r)
 }
 
 // isResuming reports whether the request is a stream that continues at another endpoint:
--- a/internal/edge/guard.go
+++ b/internal/edge/guard.go
@@ -57,7 +57,7 @@
 				return
 			case <-ticker.C:
 			}
-			if !r.answered.Load() && r.entry.parts.isBlocked(r.parts) {
+			if !r.answered.Load() && r.entry.parts.isBlocked(r) {
 				cancel(errPartBlocked)
 				return
 			}
--- a/internal/edge/parts.go
+++ b/internal/edge/parts.go
@@ -29,33 +29,54 @@
 	tracker blame.Tracker
 }
 
-// check returns why a request with the shared parts must be refused, nil if it may be sent.
+// check returns why a request with the shared parts must be refused, nil if it may be queued.
 func (g *partGuard) check(shared []blame.Part) *refusal {
 	if len(shared) == 0 {
 		return nil
 	}
 	now := time.Now()
-	refused, nextProbe := g.tracker.Check(shared, g.probeRank, now)
-	if !refused {
-		return nil
+	if refused, next := g.tracker.Check(shared, g.probeRank, now); refused {
+		return errPartRefused(next.Sub(now))
 	}
+	return nil
+}
+
+func errPartRefused(retryAfter time.Duration) *refusal {
 	return &refusal{
 		status: http.StatusServiceUnavailable, reason: "a part of the prompt is blocked: endpoints crashed on it",
-		retryAfter: max(time.Second, nextProbe.Sub(now)),
+		retryAfter: max(time.Second, retryAfter),
 	}
 }
 
-// checkQueued is check for a request that has passed it before it was queued.
-func (g *partGuard) checkQueued(shared []blame.Part) *refusal {
-	if !g.isBlocked(shared) {
+// checkSend returns why a request must not be sent to an endpoint, nil if it may be. If one of
+// its parts is blocked, the request is the probe of that part from now on.
+func (g *partGuard) checkSend(r *request) *refusal {
+	if len(r.parts) == 0 || !r.probe.IsZero() && !g.isBlocked(r) {
 		return nil
 	}
-	return g.check(shared)
+	now := time.Now()
+	started, ok := g.tracker.BeginProbe(r.parts, g.probeRank, now)
+	if !ok {
+		_, next := g.tracker.Check(r.parts, g.probeRank, now)
+		return errPartRefused(next.Sub(now))
+	}
+	if r.probe = started; !started.IsZero() {
+		event.PartProbed.Log(g.entry.logger, zap.String("request", r.head.ID), zap.String("parts", parts.Format(r.parts...)))
+		g.entry.peers.announceSuspects()
+	}
+	return nil
 }
 
-// isBlocked reports whether an attempt with the shared parts must be cancelled.
-func (g *partGuard) isBlocked(shared []blame.Part) bool {
-	return len(shared) > 0 && g.tracker.IsBlocked(shared, time.Now())
+// cancelProbe lets another request be the probe if this one was and no endpoint has run it.
+func (g *partGuard) cancelProbe(r *request) {
+	if !r.probe.IsZero() && !r.reachedEndpoint {
+		g.tracker.CancelProbe(r.parts, r.probe)
+	}
+}
+
+// isBlocked reports whether an attempt at the request must be cancelled.
+func (g *partGuard) isBlocked(r *request) bool {
+	return len(r.parts) > 0 && g.tracker.IsBlocked(r.parts, r.probe, time.Now())
 }
 
 // probeRank returns this entry's position among those that may probe a part.
@@ -71,6 +92,9 @@
 func (g *partGuard) recordAnswer(r *request) {
 	g.tracker.RecordAnswer(r.parts, time.Now())
 	parts.LogChanges(&g.tracker, g.entry.logger)
+	if !r.probe.IsZero() {
+		g.entry.peers.announceSuspects()
+	}
 }
 
 // recordCrash records that an endpoint crashed while it held the request, unless it had
--- a/internal/edge/parts_test.go
+++ b/internal/edge/parts_test.go
@@ -80,6 +80,26 @@
 	}
 }
 
+// TestSoundPartBesideADeadlyOneIsServed guards against a sound part staying blocked because
+// the first request that had it crashed a replica, on another part.
+func TestSoundPartBesideADeadlyOneIsServed(t *testing.T) {
+	s := startPromptSite(t)
+	before := s.received()
+	require.Equal(t, http.StatusBadGateway, s.call(0, http.MethodPost, "/draft/1", "", prompt(10, "b0:40,dead01:100")).status)
+	require.Eventually(t, func() bool {
+		for n := range 2 {
+			require.NotEqual(t, http.StatusOK, s.call(n, http.MethodPost, "/draft/1", "", prompt(20+n, "b0:40,dead01:100")).status)
+		}
+		return s.call(0, http.MethodPost, "/draft/1", "", prompt(11, "b0:40")).status == http.StatusOK &&
+			s.call(1, http.MethodPost, "/draft/1", "", prompt(12, "b0:40")).status == http.StatusOK
+	}, 5*time.Second, 100*time.Millisecond)
+	require.LessOrEqual(t, s.received()-before, 4, "one crash, one test and the two answers")
+	for n := range 10 {
+		require.Equal(t, http.StatusOK, s.call(n%2, http.MethodPost, "/draft/1", "", prompt(30+n, "b0:40")).status)
+		require.Equal(t, http.StatusServiceUnavailable, s.call(n%2, http.MethodPost, "/draft/1", "", prompt(50+n, "a0:40,dead01:100")).status)
+	}
+}
+
 // TestAttemptsWithAPartThatBecomesBlockedAreCancelled guards against replicas that crash on
 // requests which they had queued when the first one crashed.
 func TestAttemptsWithAPartThatBecomesBlockedAreCancelled(t *testing.T) {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -39,7 +39,10 @@
 	body        []byte
 	fingerprint uint64
 	// parts holds the parts of the prompt that other requests may share.
-	parts      []blame.Part
+	parts []blame.Part
+	// probe is when the request became the probe of a part that is blocked, zero if it is
+	// none.
+	probe      time.Time
 	receivedAt time.Time
 	deadline   time.Time
 
@@ -50,6 +53,8 @@
 	sendCount int
 	// answered reports whether the endpoint of the last attempt has begun to answer.
 	answered atomic.Bool
+	// reachedEndpoint reports whether an endpoint has not said that it rejects the request.
+	reachedEndpoint bool
 	// mayHaveRun reports whether an endpoint may have started to run the request.
 	mayHaveRun bool
 	// status is the status that was sent to the caller; zero is logged as a broken
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -121,3 +121,34 @@
 	require.NotEmpty(t, last.Header.Get("Retry-After"))
 	require.Eventually(t, func() bool { return chat(1, "sound").Status == http.StatusOK }, 5*time.Second, 50*time.Millisecond)
 }
+
+// TestSoundMessageBesideADeadlyOneIsServed guards against a sound message staying blocked
+// because the first chat that had it crashed an endpoint, on another message.
+func TestSoundMessageBesideADeadlyOneIsServed(t *testing.T) {
+	engine := stand.DefaultEngineSpec()
+	engine.ColdCapacity = engine.Capacity
+	b := startBench(t, twoEntries(engine))
+	crashes := func() int {
+		return b.Engine("asistent-1").Counts().Crashes + b.Engine("asistent-2").Counts().Crashes
+	}
+	for _, name := range []string{"asistent-1", "asistent-2"} {
+		b.Engine(name).SetFaults(stand.EngineFaults{CrashOn: "poison"})
+	}
+	chat := func(entry, body string) bench.Response {
+		answer, err := b.Call(context.Background(), b.Entry(entry).Address(), "b", http.MethodPost, "/v1/chat/completions", body, nil)
+		require.NoError(t, err)
+		return answer
+	}
+	require.Equal(t, http.StatusOK, chat("entry-1", sharedChat("known", 0)).Status)
+	// The entry has seen answers for long enough to block at the first crash.
+	time.Sleep(5200 * time.Millisecond)
+	deadly := `{"model": "asistent", "stream": true, "max_tokens": 8, "messages": [{"role": "system", "content": "new"},
+		{"role": "user", "content": "poison"}, {"role": "user", "content": "question"}]}`
+	require.NotEqual(t, http.StatusOK, chat("entry-1", deadly).Status)
+	require.Eventually(t, func() bool {
+		require.NotEqual(t, http.StatusOK, chat("entry-1", deadly).Status)
+		return chat("entry-1", sharedChat("new", 1)).Status == http.StatusOK
+	}, 10*time.Second, 100*time.Millisecond)
+	require.Eventually(t, func() bool { return chat("entry-2", sharedChat("new", 2)).Status == http.StatusOK }, 2*time.Second, 100*time.Millisecond)
+	require.LessOrEqual(t, crashes(), 1)
+}
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -42,7 +42,10 @@
 	session  string
 	prefix   uint64
 	// parts holds the parts of the prompt that other requests may share.
-	parts         []blame.Part
+	parts []blame.Part
+	// probe is when the request became the probe of a part that is blocked, zero if it is
+	// none.
+	probe         time.Time
 	target        string
 	streaming     bool
 	body          []byte
@@ -149,6 +152,7 @@
 // runAttempts makes attempts until one succeeds, another one would be unsafe or the
 // retry limit is reached. It returns nil if the caller received the full response.
 func (r *inflightRequest) runAttempts(ctx context.Context) *apierr.Error {
+	defer r.cancelProbe()
 	for {
 		grant, refusal := r.reserve(ctx)
 		if refusal != nil {
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -10,6 +10,7 @@
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/parts"
 	"github.com/lentilstand/lentilstand/pkg/blame"
+	"github.com/lentilstand/lentilstand/pkg/retry"
 )
 
 // Limits of the parts of prompts.
@@ -41,7 +42,7 @@
 	}
 	now := time.Now()
 	refused, nextProbe := r.entry.follower.parts.Check(r.parts, r.entry.follower.probeRank, now)
-	if !refused {
+	if !refused || !r.probe.IsZero() && !r.entry.follower.parts.IsBlocked(r.parts, r.probe, now) {
 		return nil
 	}
 	return apierr.New(http.StatusServiceUnavailable, "prompt_crashes_endpoints",
@@ -49,10 +50,35 @@
 		apierr.WithOutcome(r.log.Outcome()), apierr.WithRetryAfter(max(shortRetryAfter, nextProbe.Sub(now))))
 }
 
+// beginProbe is called before the request is sent, and reports whether it may be. If one of
+// its parts is blocked, the request is the probe of that part from now on.
+func (r *inflightRequest) beginProbe() bool {
+	f, now := r.entry.follower, time.Now()
+	if len(r.parts) == 0 || !r.probe.IsZero() && !f.parts.IsBlocked(r.parts, r.probe, now) {
+		return true
+	}
+	started, ok := f.parts.BeginProbe(r.parts, f.probeRank, now)
+	if r.probe = started; !started.IsZero() {
+		event.PartProbed.Log(r.entry.logger, zap.String("request", r.id), zap.String("parts", parts.Format(r.parts...)))
+		f.pollPeersNow()
+	}
+	return ok
+}
+
+// cancelProbe lets another request be the probe if this one was and hasn't run.
+func (r *inflightRequest) cancelProbe() {
+	if !r.probe.IsZero() && r.log.Outcome() == retry.OutcomeNotRun {
+		r.entry.follower.parts.CancelProbe(r.parts, r.probe)
+	}
+}
+
 // recordPartAnswer records that the endpoint has begun to answer.
 func (r *inflightRequest) recordPartAnswer() {
 	r.entry.follower.parts.RecordAnswer(r.parts, time.Now())
 	parts.LogChanges(&r.entry.follower.parts, r.entry.logger)
+	if !r.probe.IsZero() {
+		r.entry.follower.pollPeersNow()
+	}
 }
 
 // recordPartCrash records that the endpoint of a grant crashed before it had begun to
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -125,7 +125,7 @@
 	if found == nil {
 		return nil, nil
 	}
-	if !r.isStillAllowed(found) {
+	if !r.isStillAllowed(found) || !r.beginProbe() {
 		found.release()
 		return nil, nil
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -41,6 +41,7 @@
 	RetryDenied      = register(2015, "retry_denied", warnLevel, "A request was not retried because the retry budget is exhausted.")
 	PartSuspected    = register(2016, "part_suspected", warnLevel, "An endpoint crashed before it began to answer a request; the shared `parts` of its prompt are suspect.")
 	PartBlocked      = register(2017, "part_blocked", warnLevel, "Requests with a part of a prompt are refused, since endpoints crashed on it `crashes` times without an answer.")
+	PartProbed       = register(2019, "part_probed", infoLevel, "A request is sent though endpoints crashed on requests with a part of its prompt, to learn whether that part is the cause; others wait for the outcome.")
 	PartCleared      = register(2018, "part_cleared", infoLevel, "Requests with a part of a prompt are no longer refused.")
 	ClaimUnsettled   = register(2010, "claim_unsettled", warnLevel, "The outcome of a claimed request could not be written to the key-value service.")
 )
--- a/internal/parts/parts.go
+++ b/internal/parts/parts.go
@@ -56,6 +56,10 @@
 			ms := toMilliseconds(age)
 			wire.AnsweredAgeMs = &ms
 		}
+		if age, probed := report.Probe(); probed {
+			ms := toMilliseconds(age)
+			wire.ProbedAgeMs = &ms
+		}
 		encoded = append(encoded, wire)
 	}
 	return encoded
@@ -73,6 +77,9 @@
 		if wire.AnsweredAgeMs != nil {
 			report = report.WithAnswer(fromMilliseconds(wire.GetAnsweredAgeMs()))
 		}
+		if wire.ProbedAgeMs != nil {
+			report = report.WithProbe(fromMilliseconds(wire.GetProbedAgeMs()))
+		}
 		if wire.GetBlocked() {
 			report = report.WithBlock()
 		}
--- a/pkg/blame/blame_test.go
+++ b/pkg/blame/blame_test.go
@@ -48,8 +48,13 @@
 	if probesFirst {
 		rank = 0
 	}
-	refused, _ := h.tracker.Check(parts, func(blame.Part) int { return rank }, h.now)
-	return !refused
+	ranked := func(blame.Part) int { return rank }
+	refused, _ := h.tracker.Check(parts, ranked, h.now)
+	if refused {
+		return false
+	}
+	_, ok := h.tracker.BeginProbe(parts, ranked, h.now)
+	return ok
 }
 
 // TestPartsAreBlocked guards against parts that crash endpoints and aren't blocked, and
@@ -104,7 +109,7 @@
 			tc.events(h)
 			for part, blocked := range tc.want {
 				require.Equal(t, blocked, !h.passes(false, part), "part %d", part)
-				require.Equal(t, blocked, h.tracker.IsBlocked([]blame.Part{part}, h.now), "part %d", part)
+				require.Equal(t, blocked, h.tracker.IsBlocked([]blame.Part{part}, time.Time{}, h.now), "part %d", part)
 			}
 		})
 	}
@@ -138,7 +143,8 @@
 		require.False(t, h.passes(false, deadly), "only one entry probes")
 		require.True(t, h.passes(true, deadly))
 		require.False(t, h.passes(true, deadly), "only one request is the probe")
-		require.False(t, h.tracker.IsBlocked([]blame.Part{deadly}, h.now), "the probe isn't cancelled")
+		require.False(t, h.tracker.IsBlocked([]blame.Part{deadly}, h.now, h.now), "the probe isn't cancelled")
+		require.True(t, h.tracker.IsBlocked([]blame.Part{deadly}, time.Time{}, h.now), "other requests are")
 		h.crash(deadly)
 	}
 	h.sleep(4 * time.Minute)
@@ -246,6 +252,107 @@
 	require.False(t, peer.passes(false, deadly))
 }
 
+// TestPartsBesideADeadlyOneAreToldApart guards against sound parts that stay blocked because
+// the first request with them also had a part that crashes endpoints, and against tests that
+// crash more endpoints than needed.
+func TestPartsBesideADeadlyOneAreToldApart(t *testing.T) {
+	const sound, second blame.Part = 10, 11
+	const wait = 3 * time.Second
+	t.Run("a request without the deadly part clears the other", func(t *testing.T) {
+		h := newHistory()
+		h.crash(common, sound, deadly)
+		require.False(t, h.passes(true, common, sound), "the group isn't up again")
+		h.sleep(wait)
+		require.False(t, h.passes(true, common, sound, deadly), "it can't tell the parts apart")
+		require.True(t, h.passes(true, common, sound))
+		require.False(t, h.passes(true, common, sound), "one test at a time")
+		h.answer(common, sound)
+		require.True(t, h.passes(false, common, sound))
+		require.False(t, h.passes(true, common, deadly), "the deadly part is known, so that it isn't tested")
+	})
+	t.Run("a request with the deadly part convicts it", func(t *testing.T) {
+		h := newHistory()
+		h.crash(common, sound, deadly)
+		h.sleep(wait)
+		require.True(t, h.passes(true, common, deadly))
+		h.crash(common, deadly)
+		h.sleep(wait)
+		require.False(t, h.passes(true, common, deadly))
+		require.True(t, h.passes(false, common, sound), "the first crash is explained")
+	})
+	t.Run("two sound parts that only come together", func(t *testing.T) {
+		h := newHistory()
+		h.crash(sound, second, deadly)
+		h.sleep(wait)
+		require.True(t, h.passes(true, sound, second))
+		h.answer(sound, second)
+		require.False(t, h.passes(true, deadly))
+	})
+	t.Run("each of five crashes has another part", func(t *testing.T) {
+		h := newHistory()
+		for n := range blame.Part(5) {
+			if h.passes(true, 20+n, deadly) {
+				h.crash(20+n, deadly)
+			}
+			h.sleep(wait)
+		}
+		require.LessOrEqual(t, h.crashes, 2)
+		require.False(t, h.passes(true, deadly))
+		for n := range blame.Part(5) {
+			require.True(t, h.passes(false, common, 20+n))
+		}
+	})
+	t.Run("a test that no endpoint runs is repeated at once", func(t *testing.T) {
+		h := newHistory()
+		h.crash(common, sound, deadly)
+		h.sleep(wait)
+		first := func(blame.Part) int { return 0 }
+		started, ok := h.tracker.BeginProbe([]blame.Part{sound}, first, h.now)
+		require.True(t, ok)
+		h.tracker.CancelProbe([]blame.Part{sound}, started)
+		require.True(t, h.passes(true, sound))
+		h.sleep(wait)
+		require.True(t, h.passes(true, sound), "a test without an outcome is repeated later")
+	})
+}
+
+// TestEntriesTestAPartInTurn guards against a part that crashes endpoints being tested by many
+// entries at once.
+func TestEntriesTestAPartInTurn(t *testing.T) {
+	const sound blame.Part = 10
+	first, second := newHistory(), newHistory()
+	first.crash(sound, deadly)
+	second.tracker.Merge(first.tracker.Export(first.now), second.now)
+	for _, h := range []*history{first, second} {
+		h.sleep(3 * time.Second)
+	}
+	require.True(t, first.passes(true, sound))
+	second.tracker.Merge(first.tracker.Export(first.now), second.now)
+	require.False(t, second.passes(true, sound), "another entry's test runs")
+	first.answer(sound)
+	second.tracker.Merge(first.tracker.Export(first.now), second.now)
+	require.True(t, second.passes(false, sound))
+	require.False(t, second.passes(true, deadly))
+}
+
+// TestKnownAnswersPreventTests guards against a test of the deadly part by an entry that only
+// hasn't heard yet that another one knows an answer to the part beside it.
+func TestKnownAnswersPreventTests(t *testing.T) {
+	h, peer := newHistory(), newHistory()
+	peer.answer(rare)
+	h.sleep(time.Second)
+	peer.now = h.now
+	h.crash(rare, deadly)
+	require.False(t, h.passes(true, deadly))
+	peer.tracker.Merge(h.tracker.Export(h.now), peer.now)
+	h.sleep(200 * time.Millisecond)
+	peer.now = h.now
+	h.tracker.Merge(peer.tracker.Export(peer.now), h.now)
+	h.sleep(3 * time.Second)
+	require.False(t, h.passes(true, deadly))
+	require.True(t, h.passes(false, rare))
+}
+
 func ExampleTracker() {
 	var tracker blame.Tracker
 	now := time.Unix(1000, 0)
--- a/pkg/blame/report.go
+++ b/pkg/blame/report.go
@@ -6,6 +6,9 @@
 const (
 	// newsTTL is how long each export contains a suspect after its record changed.
 	newsTTL = 2 * time.Second
+	// probeTolerance is the difference up to which the ages of a probe in two reports are
+	// the same, so that reports of one probe don't count as news again and again.
+	probeTolerance = 100 * time.Millisecond
 	// maxReports limits the reports of one export.
 	maxReports = 24
 )
@@ -34,6 +37,8 @@
 	crashes  []Crash
 	answered time.Duration
 	proven   bool
+	probed   time.Duration
+	isProbed bool
 	blocked  bool
 }
 
@@ -48,6 +53,13 @@
 	return r
 }
 
+// WithProbe returns the report of a part that is blocked and that an entry last probed some
+// time ago.
+func (r Report) WithProbe(age time.Duration) Report {
+	r.probed, r.isProbed = age, true
+	return r
+}
+
 // WithBlock returns the report of an entry that blocks the part.
 func (r Report) WithBlock() Report {
 	r.blocked = true
@@ -63,6 +75,10 @@
 // Answer returns the time since the part was last answered, and whether it was.
 func (r Report) Answer() (age time.Duration, proven bool) { return r.answered, r.proven }
 
+// Probe returns the time since the part was last probed, and whether it was since its last
+// crash.
+func (r Report) Probe() (age time.Duration, probed bool) { return r.probed, r.isProbed }
+
 // Blocked reports whether the entry blocks the part.
 func (r Report) Blocked() bool { return r.blocked }
 
@@ -98,6 +114,9 @@
 		if answered, proven := t.answers.last(part); proven {
 			report = report.WithAnswer(now.Sub(answered))
 		}
+		if s.probedAt.After(s.lastCrash()) {
+			report = report.WithProbe(now.Sub(s.probedAt))
+		}
 		if s.blocked {
 			report = report.WithBlock()
 		}
@@ -125,8 +144,15 @@
 				t.addCrash(report.part, crash.incarnation, at, now)
 			}
 		}
-		if s := t.suspects[report.part]; s != nil && report.blocked {
-			s.vetted = true
+		s := t.suspects[report.part]
+		if s == nil {
+			continue
+		}
+		s.vetted = s.vetted || report.blocked
+		if age, probed := report.Probe(); probed {
+			if at := now.Add(-age); at.After(s.probedAt.Add(probeTolerance)) {
+				s.probedAt, s.changedAt = at, now
+			}
 		}
 	}
 	t.updateBlocked(now)
--- a/pkg/blame/tracker.go
+++ b/pkg/blame/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math/bits"
 	"slices"
 	"sync"
 	"time"
@@ -35,6 +36,13 @@
 	clearedTTL = 10 * time.Second
 	// probeTimeout is how long a probe may take before the next one.
 	probeTimeout = 10 * time.Second
+	// testTimeout is the same for the test of a part that may only have been beside the one
+	// that crashes endpoints. The first test is testDelay after the crash, when the other
+	// entries have told whether the part was answered there, and testStagger later for the
+	// entries of each further stage.
+	testTimeout = 3 * time.Second
+	testDelay   = time.Second
+	testStagger = 250 * time.Millisecond
 	// suspectTTL is how long the crashes of a part are kept after the last one if they
 	// don't block it, and blockTTL if they do.
 	suspectTTL = 2 * time.Minute
@@ -79,6 +87,8 @@
 	mu       sync.Mutex
 	suspects map[Part]*suspect
 	answers  answers
+	// causes is nil if the records have changed since it was found.
+	causes *causes
 	// firstAnswer is when an endpoint first answered a request of this tracker.
 	firstAnswer time.Time
 	changes     []Change
@@ -90,7 +100,9 @@
 	crashes map[uint64]time.Time
 	// changedAt is when something was last learned about the part.
 	changedAt time.Time
-	probedAt  time.Time
+	// probedAt is when an entry last sent a request with the part though it is blocked, zero
+	// if none has since the last crash.
+	probedAt time.Time
 	// vetted is set if an entry with experience blocks the part.
 	vetted bool
 	// blocked is the state that was last reported by DrainChanges.
@@ -130,8 +142,11 @@
 
 // addAnswer records that a part was answered. The caller holds t.mu.
 func (t *Tracker) addAnswer(part Part, at, now time.Time) {
-	last, _ := t.answers.last(part)
+	last, proven := t.answers.last(part)
 	t.answers.add(part, at)
+	if !proven && t.suspects[part] != nil {
+		t.causes = nil
+	}
 	if s := t.suspects[part]; s != nil && at.After(s.lastCrash()) && !last.After(s.lastCrash()) {
 		s.changedAt = now
 		t.updateBlocked(now)
@@ -156,6 +171,9 @@
 
 // blockedAmong returns the parts that are blocked. The caller holds t.mu.
 func (t *Tracker) blockedAmong(parts []Part, now time.Time) []Part {
+	if len(t.suspects) == 0 {
+		return nil
+	}
 	var blocked []Part
 	for _, part := range parts {
 		if t.isBlocked(part, now) {
@@ -184,6 +202,7 @@
 	}
 	s.crashes[incarnation] = at
 	s.changedAt = now
+	t.causes = nil
 }
 
 // removeOldest removes the oldest crash.
@@ -202,6 +221,7 @@
 	if len(t.suspects) >= maxSuspects {
 		ranked := t.rank()
 		delete(t.suspects, ranked[len(ranked)-1])
+		t.causes = nil
 	}
 }
 
@@ -244,43 +264,137 @@
 }
 
 // Check returns whether a request with the parts must be refused because one of them is
-// blocked, and when this entry probes it next. The request is the probe if one is due. The
-// rank is the entry's ProbeRank: each entry waits probeTimeout longer than the one before,
-// as that may get no request with the part.
-func (t *Tracker) Check(parts []Part, rank func(Part) int, now time.Time) (refused bool, nextProbe time.Time) {
+// blocked, and when this entry may send the next one. The rank is the entry's ProbeRank.
+func (t *Tracker) Check(parts []Part, rank func(Part) int, now time.Time) (refused bool, next time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next = t.nextProbe(parts, t.blockedAmong(parts, now), rank)
+	return now.Before(next), next
+}
+
+// BeginProbe is called before a request with the parts is sent. It returns false if the
+// request must not be sent, as one of the parts is blocked and no probe of it is due.
+// Otherwise started is the time of the probe, zero if none of the parts is blocked.
+func (t *Tracker) BeginProbe(parts []Part, rank func(Part) int, now time.Time) (started time.Time, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.suspects) == 0 {
-		return false, time.Time{}
-	}
 	blocked := t.blockedAmong(parts, now)
+	if len(blocked) == 0 {
+		return time.Time{}, true
+	}
+	if now.Before(t.nextProbe(parts, blocked, rank)) {
+		return time.Time{}, false
+	}
 	for _, part := range blocked {
-		if due := t.probeDue(part).Add(time.Duration(rank(part)) * probeTimeout); now.Before(due) {
-			refused = true
-			nextProbe = laterOf(nextProbe, due)
-		}
+		t.suspects[part].probedAt, t.suspects[part].changedAt = now, now
 	}
-	if !refused {
-		for _, part := range blocked {
-			t.suspects[part].probedAt = now
+	return now, true
+}
+
+// CancelProbe undoes BeginProbe for a request that no endpoint has run.
+func (t *Tracker) CancelProbe(parts []Part, started time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, part := range parts {
+		if s := t.suspects[part]; s != nil && s.probedAt.Equal(started) {
+			s.probedAt = time.Time{}
 		}
 	}
-	return refused, nextProbe
 }
 
-// IsBlocked reports whether one of the parts is blocked and no probe of it has been let
-// through recently, as a request that is the probe must not be cancelled.
-func (t *Tracker) IsBlocked(parts []Part, now time.Time) bool {
+// IsBlocked reports whether one of the parts is blocked by a crash after a time: that of the
+// request's BeginProbe, or zero if it is no probe.
+func (t *Tracker) IsBlocked(parts []Part, probe, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.suspects) == 0 {
-		return false
-	}
 	return slices.ContainsFunc(t.blockedAmong(parts, now), func(part Part) bool {
-		return t.suspects[part].probedAt.Before(t.suspects[part].lastCrash())
+		return t.suspects[part].lastCrash().After(probe)
 	})
 }
 
+// nextProbe returns when a request with the parts, some of which are blocked, may be sent.
+// Each entry waits longer than the one before, as that may get no such request. The caller
+// holds t.mu.
+func (t *Tracker) nextProbe(parts, blocked []Part, rank func(Part) int) time.Time {
+	var next time.Time
+	for _, part := range blocked {
+		due := t.probeDue(part).Add(time.Duration(rank(part)) * probeTimeout)
+		if t.isTest(part, parts) {
+			s := t.suspects[part]
+			// The number of entries doubles with each stage.
+			stage := bits.Len(uint(rank(part)))
+			due = laterOf(s.lastCrash().Add(testDelay+time.Duration(stage)*testStagger), s.probedAt.Add(testTimeout))
+		}
+		next = laterOf(next, due)
+	}
+	return next
+}
+
+// isTest reports whether a request with the parts tells whether a part crashes endpoints
+// that is blocked without having been answered: each crash on it may be due to another
+// part, which the request doesn't have. The caller holds t.mu.
+func (t *Tracker) isTest(part Part, parts []Part) bool {
+	if _, proven := t.answers.last(part); proven || t.isCulprit(part) {
+		return false
+	}
+	for incarnation := range t.suspects[part].crashes {
+		others := t.otherCandidates(part, incarnation)
+		if !slices.ContainsFunc(others, func(other Part) bool { return !slices.Contains(parts, other) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// isCulprit reports whether a part that was never answered is the likeliest cause of a crash:
+// all other candidates have been at fewer crashes. The caller holds t.mu.
+func (t *Tracker) isCulprit(part Part) bool { return t.findCauses().culprits[part] }
+
+// otherCandidates returns the parts, besides the given one, that may have caused the crash
+// of an endpoint incarnation. The caller holds t.mu.
+func (t *Tracker) otherCandidates(part Part, incarnation uint64) []Part {
+	var others []Part
+	for _, other := range t.findCauses().candidates[incarnation] {
+		if other != part {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+// causes holds what may have caused crashes, as of the records of a tracker.
+type causes struct {
+	// candidates holds the suspect parts of each crash that were never answered, and
+	// culprits those that have been at more crashes than the other candidates of one.
+	candidates map[uint64][]Part
+	culprits   map[Part]bool
+}
+
+// findCauses returns the causes for the current records. The caller holds t.mu.
+func (t *Tracker) findCauses() *causes {
+	if t.causes != nil {
+		return t.causes
+	}
+	found := &causes{candidates: make(map[uint64][]Part), culprits: make(map[Part]bool)}
+	for part, s := range t.suspects {
+		if _, proven := t.answers.last(part); proven {
+			continue
+		}
+		for incarnation := range s.crashes {
+			found.candidates[incarnation] = append(found.candidates[incarnation], part)
+		}
+	}
+	for _, parts := range found.candidates {
+		byCrashes := func(a, b Part) int { return cmp.Compare(len(t.suspects[a].crashes), len(t.suspects[b].crashes)) }
+		most := slices.MaxFunc(parts, byCrashes)
+		if !slices.ContainsFunc(parts, func(part Part) bool { return part != most && byCrashes(part, most) == 0 }) {
+			found.culprits[most] = true
+		}
+	}
+	t.causes = found
+	return found
+}
+
 // probeDue returns when the first entry may send the next probe of a blocked part. The
 // caller holds t.mu.
 func (t *Tracker) probeDue(part Part) time.Time {
@@ -306,11 +420,23 @@
 		if s.vetted || !t.firstAnswer.IsZero() && now.Sub(t.firstAnswer) >= experience {
 			required = unprovenEpisodes
 		}
-		return episodes(s.since(time.Time{})) >= required
+		return episodes(t.withoutCulprit(part)) >= required
 	}
 	return episodes(t.unexplained(s, answered)) >= provenEpisodes
 }
 
+// withoutCulprit returns the times of a part's crashes for which no other part is the
+// culprit. The part was never answered. The caller holds t.mu.
+func (t *Tracker) withoutCulprit(part Part) []time.Time {
+	var times []time.Time
+	for incarnation, at := range t.suspects[part].crashes {
+		if !slices.ContainsFunc(t.otherCandidates(part, incarnation), t.isCulprit) {
+			times = append(times, at)
+		}
+	}
+	return times
+}
+
 // unexplained returns the times of a suspect's crashes since it was answered, without
 // those that a part explains which was never answered and was at several crashes. The
 // caller holds t.mu.
@@ -380,6 +506,7 @@
 		cleared := answered.After(s.lastCrash()) && now.Sub(s.changedAt) >= clearedTTL
 		if !blocked && (cleared || now.Sub(s.lastCrash()) >= suspectTTL) {
 			delete(t.suspects, part)
+			t.causes = nil
 		}
 	}
 }
