pkg/mirror, platform: judge a record before it competes for an address

Cause: of two records with one address the endpoint that started later was kept, before anything else about it was looked at. Ruled out: the restart; running entries stopped serving in the same way.

Endpoints of a service that the table doesn't name, and those at an address of an entry, are ignored, by the current table each time. A start far in the future or an unknown data centre loses the address. What is ignored is logged (4012). The fixtures of the tests have all fields that replicas write.

--- a/internal/edge/answers_test.go
+++ b/internal/edge/answers_test.go
@@ -49,7 +49,7 @@
 				return other.requests() > 0
 			}, 3*time.Second, 10*time.Millisecond)
 			// A later change of its registration doesn't bring it back.
-			s.write("servers/i-raw", fmt.Sprintf(`{"service":"plain","address":%q,"zone":"gmunden","slots":8,"state":"ready","coldLeftMs":0,"born":1,"sequence":2}`, leaving.address))
+			s.write("servers/i-raw", fmt.Sprintf(`{"service":"plain","address":%q,"zone":"gmunden","slots":8,"state":"ready","coldLeftMs":0,"version":"v1","born":1,"sequence":2}`, leaving.address))
 			time.Sleep(200 * time.Millisecond)
 			for range 20 {
 				require.Equal(t, http.StatusOK, s.call(0, http.MethodPost, "/book/1", "", nil).status)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -167,6 +167,7 @@
 // Reload replaces the settings. Listen addresses do not change while the entry runs.
 func (e *Entry) Reload(settings prefs.Edge) {
 	e.settings.Store(&settings)
+	e.storeSyncer.applySettings(&settings)
 	event.SettingsReloaded.Log(e.logger)
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -398,3 +398,41 @@
 	require.Zero(t, <-stopped)
 	s.store.SetFaults(fakes.StoreFaults{})
 }
+
+// TestForeignRecordsTakeNoReplica guards against records of another writer in the store that
+// take replicas from their service, in running entries and in those that start.
+func TestForeignRecordsTakeNoReplica(t *testing.T) {
+	s := startSite(t, "i-1", "i-2")
+	s.startEntry("entry-2")
+	s.waitReady(1)
+	require.Eventually(t, func() bool { return len(s.addresses(0)) == 2 && len(s.addresses(1)) == 2 }, 5*time.Second, 20*time.Millisecond)
+	far := time.Now().Add(100 * time.Hour).UnixMilli()
+	record := func(service, address, zone string, born int64) string {
+		return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":"ready","coldLeftMs":0,"version":"v1","sequence":0,"born":%d}`,
+			service, address, zone, born)
+	}
+	own := s.replicas["i-1"].Address()
+	testCases := []struct{ name, record string }{
+		{"a service that no configuration names", record("archive", own, "gmunden", 2)},
+		{"a start far ahead", record("plain", own, "gmunden", far)},
+		{"a start far ahead, in another service", record("model", own, "gmunden", far)},
+		{"text in place of a number", strings.Replace(record("plain", own, "gmunden", 2), `"slots":8`, `"slots":"8"`, 1)},
+		{"a missing field", strings.Replace(record("plain", own, "gmunden", 2), `"slots":8,`, ``, 1)},
+		{"the address of an entry", record("plain", s.settings[0].ListenAddress(), "gmunden", 2)},
+		{"the address of another entry", record("plain", s.settings[1].ListenAddress(), "gmunden", 2)},
+	}
+	for n, tc := range testCases {
+		s.write(fmt.Sprintf("servers/x-%d", n), tc.record)
+	}
+	time.Sleep(500 * time.Millisecond)
+	s.startEntry("entry-3")
+	s.waitReady(2)
+	for index := range s.entries {
+		for range 12 {
+			require.Equal(t, http.StatusOK, s.call(index, http.MethodPost, "/book/1", "", nil).status, "entry %d", index+1)
+		}
+	}
+	for id, r := range s.replicas {
+		require.NotEmpty(t, r.Requests(), id)
+	}
+}
--- a/internal/edge/faulty_test.go
+++ b/internal/edge/faulty_test.go
@@ -50,7 +50,7 @@
 		}
 	})
 	r.address = listener.Addr().String()
-	s.write("servers/"+id, fmt.Sprintf(`{"service":"plain","address":%q,"zone":"gmunden","slots":8,"state":"ready","coldLeftMs":0,"born":1}`,
+	s.write("servers/"+id, fmt.Sprintf(`{"service":"plain","address":%q,"zone":"gmunden","slots":8,"state":"ready","coldLeftMs":0,"version":"v1","sequence":0,"born":1}`,
 		r.address))
 	return r
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/internal/prefs"
 	"github.com/lentilstand/lentilstand/pkg/mirror"
 	"github.com/lentilstand/lentilstand/pkg/store"
 	"github.com/lentilstand/lentilstand/pkg/table"
@@ -71,6 +73,8 @@
 	// centres that were last logged.
 	loggedVersion     uint64
 	loggedEvacuations map[string]bool
+	// loggedIgnored are the endpoints that were last logged as ignored, with the reason.
+	loggedIgnored map[string]string
 
 	leaseMu      sync.Mutex
 	lease        uint64
@@ -78,7 +82,24 @@
 }
 
 func newStoreSyncer(e *Entry) *storeSyncer {
-	return &storeSyncer{entry: e, state: mirror.New(platform.Decode)}
+	s := &storeSyncer{entry: e, state: mirror.New(platform.Decode)}
+	s.applySettings(e.settings.Load())
+	return s
+}
+
+// applySettings tells the view which addresses are this entry's, and the data centres.
+func (s *storeSyncer) applySettings(settings *prefs.Edge) {
+	var own []netip.AddrPort
+	for _, text := range []string{
+		settings.ListenAddress(), settings.ReadyAddress(), settings.DirectoryAddress(), settings.AdminAddress(), settings.PeerAddress(),
+	} {
+		if address, err := netip.ParseAddrPort(text); err == nil {
+			own = append(own, address)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.SetSite(own, settings.DataCentres())
 }
 
 // run watches the store until ctx ends.
@@ -268,6 +289,7 @@
 		event.TableAdopted.Log(logger, zap.Uint64("version", t.Version()), zap.Uint64("revision", view.Revision()), zap.String("source", source))
 	}
 	s.logEvacuations(view)
+	s.logIgnored(view)
 	s.entry.publish(view)
 }
 
@@ -293,6 +315,17 @@
 	s.loggedEvacuations = evacuated
 }
 
+// logIgnored logs the endpoints that are no longer used, or for another reason, though the store
+// has them. The caller holds s.mu.
+func (s *storeSyncer) logIgnored(view *mirror.View) {
+	for key, reason := range view.Ignored() {
+		if s.loggedIgnored[key] != reason {
+			event.EndpointIgnored.Log(s.entry.logger, zap.String("key", key), zap.String("reason", reason), zap.Uint64("revision", view.Revision()))
+		}
+	}
+	s.loggedIgnored = view.Ignored()
+}
+
 // expire removes registrations whose grace period has ended.
 func (s *storeSyncer) expire(now time.Time) {
 	s.mu.Lock()
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -119,7 +119,7 @@
 
 // registerFor registers a replica of a service.
 func (s *site) registerFor(service, id, zone, state string) {
-	s.write("servers/"+id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":%q,"coldLeftMs":0,"born":1}`,
+	s.write("servers/"+id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":%q,"coldLeftMs":0,"version":"v1","sequence":0,"born":1}`,
 		service, s.replicas[id].Address(), zone, state))
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -72,6 +72,7 @@
 	EndpointPaused    = register(4009, "endpoint_paused", infoLevel, "An endpoint turned a request away and wants no more for the time `pause`.")
 	EndpointLimited   = register(4010, "endpoint_limited", infoLevel, "An endpoint takes no more than `per_second` requests a second from all entries; this entry sends it one each `interval`.")
 	EndpointUnlimited = register(4011, "endpoint_unlimited", infoLevel, "An endpoint no longer limits the rate of requests.")
+	EndpointIgnored   = register(4012, "endpoint_ignored", infoLevel, "An endpoint in the store is not used; `reason` tells why.")
 	EndpointLeaving   = register(4004, "endpoint_leaving", infoLevel, "The endpoint is leaving; it gets no new requests.")
 )
 
--- a/internal/prefs/platform.go
+++ b/internal/prefs/platform.go
@@ -1,7 +1,10 @@
 package prefs
 
 import (
+	"encoding/json"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -66,6 +69,7 @@
 	readyAddress     string
 	directoryAddress string
 	storeAddress     string
+	dataCentres      []string
 	addressTTL       time.Duration
 	stopTimeout      time.Duration
 	retryRatio       float64
@@ -89,6 +93,7 @@
 		readyAddress:     requiredAddress(object, "ready_listen"),
 		directoryAddress: requiredAddress(object, "directory_listen"),
 		storeAddress:     requiredAddress(object, "store"),
+		dataCentres:      fieldNames(object, "data_centres"),
 		stopTimeout:      optionalSeconds(object, "stop_bound_s", defaultStopTimeout),
 		addressTTL:       optionalSeconds(object, "address_ttl_s", defaultDirectoryTTL),
 		retryRatio:       requiredRatio(object, "retry_ratio"),
@@ -103,6 +108,19 @@
 	return edge
 }
 
+// fieldNames reads an optional field with an object and returns the names of its fields, sorted.
+func fieldNames(object *jsonc.Object, name string) []string {
+	raw := object.Raw(name)
+	if raw == nil {
+		return nil
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		object.Addf(name, "field %q must be an object", name)
+	}
+	return slices.Sorted(maps.Keys(fields))
+}
+
 // requiredRatio reads a required field with a non-negative number.
 func requiredRatio(object *jsonc.Object, name string) float64 {
 	text := string(object.Raw(name))
@@ -127,6 +145,9 @@
 // StoreAddress returns the address of the platform's metadata store.
 func (e Edge) StoreAddress() string { return e.storeAddress }
 
+// DataCentres returns the names of all data centres, none if the settings don't have them.
+func (e Edge) DataCentres() []string { return e.dataCentres }
+
 // AddressTTL returns how long callers may cache the addresses of entries.
 func (e Edge) AddressTTL() time.Duration { return e.addressTTL }
 
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -252,7 +252,7 @@
 
 func (s *site) register(id, service, address string) {
 	s.put("servers/"+id, map[string]any{
-		"service": service, "address": address, "zone": "a", "slots": 8, "state": "ready", "coldLeftMs": 0, "born": 1,
+		"service": service, "address": address, "zone": "a", "slots": 8, "state": "ready", "coldLeftMs": 0, "version": "v1", "sequence": 0, "born": 1,
 	})
 }
 
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -24,6 +24,10 @@
 // of the store's return.
 const ExpiryGrace = 2200 * time.Millisecond
 
+// maxStartLead is how far ahead of the clock the start of an endpoint may seem to be. Clocks
+// of hosts differ by seconds.
+const maxStartLead = time.Hour
+
 // tombstoneRetention is how long the removal of a key is remembered, so that a peer with
 // an older state can't add the key again.
 const tombstoneRetention = 60 * time.Second
@@ -38,6 +42,7 @@
 	endpoints map[string][]*table.Endpoint
 	evacuated map[string]bool
 	members   []table.Member
+	ignored   map[string]string
 	revision  uint64
 	confirmed time.Time
 }
@@ -64,6 +69,10 @@
 // Members returns the members, sorted by key. The caller must not modify the slice.
 func (v *View) Members() []table.Member { return v.members }
 
+// Ignored returns why endpoints in the store aren't used, by ID. The caller must not modify
+// the map.
+func (v *View) Ignored() map[string]string { return v.ignored }
+
 // Revision returns the revision of the store that the view reflects.
 func (v *View) Revision() uint64 { return v.revision }
 
@@ -109,6 +118,12 @@
 	compacted uint64
 	current   *View
 	findings  []Finding
+	// reserved holds addresses that no endpoint has, and dataCentres the names of the data
+	// centres, empty if they aren't known.
+	reserved    map[netip.AddrPort]bool
+	dataCentres map[string]bool
+	// now is the time of the last input.
+	now time.Time
 }
 
 // New returns an empty state.
@@ -118,6 +133,18 @@
 	return s
 }
 
+// SetSite sets the addresses of this process, which no endpoint has, and the names of the
+// data centres, none if they aren't known. They apply from the next input on.
+func (s *State) SetSite(own []netip.AddrPort, dataCentres []string) {
+	s.reserved, s.dataCentres = make(map[netip.AddrPort]bool), make(map[string]bool)
+	for _, address := range own {
+		s.reserved[address] = true
+	}
+	for _, name := range dataCentres {
+		s.dataCentres[name] = true
+	}
+}
+
 // View returns the current view.
 func (s *State) View() *View { return s.current }
 
@@ -173,6 +200,7 @@
 	if snapshot.Revision() < s.revision {
 		return false
 	}
+	s.now = now
 	present := make(map[string]bool, len(snapshot.Pairs()))
 	for _, pair := range snapshot.Pairs() {
 		present[pair.Key()] = true
@@ -194,6 +222,7 @@
 // Apply applies the changes up to revision. Removed members and endpoints that aren't
 // draining stay until graceUntil, as in Replace.
 func (s *State) Apply(changes []store.Change, revision uint64, now, graceUntil time.Time) {
+	s.now = now
 	for _, change := range changes {
 		if change.IsRemoved() {
 			s.remove(change.Pair().Key(), change.Pair().Revision(), now, graceUntil)
@@ -219,6 +248,7 @@
 // Expire removes the records whose grace period has ended, and reports whether there were
 // any. It also removes old tombstones.
 func (s *State) Expire(now time.Time) bool {
+	s.now = now
 	expired := false
 	for key, rec := range s.records {
 		if !rec.expires.IsZero() && now.After(rec.expires) {
@@ -294,25 +324,75 @@
 	}
 }
 
-// newestByAddress returns the endpoint that started last at each address. The key of a
-// crashed endpoint remains for a while after another has started in its place.
-func (s *State) newestByAddress() map[netip.AddrPort]*table.Endpoint {
-	newest := make(map[netip.AddrPort]*table.Endpoint)
-	revisions := make(map[netip.AddrPort]uint64)
+// Reasons why an endpoint isn't used.
+const (
+	unknownService = "no configuration names its service"
+	reservedByOwn  = "its address is that of an entry"
+	replaced       = "another endpoint started later at its address"
+)
+
+// selectEndpoints returns the endpoints that requests may be sent to, and why the others
+// may not, by key. Whoever writes a key may name any address, so an endpoint is judged by
+// itself before it competes with others for its address.
+func (s *State) selectEndpoints() (selected map[string]*table.Endpoint, ignored map[string]string) {
+	selected, ignored = make(map[string]*table.Endpoint), make(map[string]string)
+	entries := make(map[netip.AddrPort]bool)
 	for _, rec := range s.records {
+		if member, ok := rec.value.(table.Member); ok {
+			for _, text := range []string{member.ClientAddress(), member.PeerAddress()} {
+				if address, err := netip.ParseAddrPort(text); err == nil {
+					entries[address] = true
+				}
+			}
+		}
+	}
+	byAddress := make(map[netip.AddrPort]string)
+	for key, rec := range s.records {
 		endpoint, ok := rec.value.(*table.Endpoint)
 		if !ok {
 			continue
 		}
 		address := endpoint.Address()
-		other := newest[address]
-		newer := other == nil || endpoint.Start().After(other.Start()) ||
-			(endpoint.Start().Equal(other.Start()) && rec.pair.Revision() > revisions[address])
-		if newer {
-			newest[address], revisions[address] = endpoint, rec.pair.Revision()
+		switch {
+		case s.table != nil && !s.table.Names(endpoint.Service()):
+			ignored[key] = unknownService
+			continue
+		case s.reserved[address] || entries[address]:
+			ignored[key] = reservedByOwn
+			continue
+		}
+		loser := key
+		if other, taken := byAddress[address]; !taken || s.displaces(rec, s.records[other]) {
+			loser, byAddress[address] = other, key
 		}
+		if loser != "" {
+			ignored[loser] = replaced
+		}
+	}
+	for _, key := range byAddress {
+		selected[key] = s.records[key].value.(*table.Endpoint)
 	}
-	return newest
+	return selected, ignored
+}
+
+// displaces reports whether an endpoint has taken the address of another: it started later.
+// The key of a crashed endpoint remains for a while after another has started in its place.
+func (s *State) displaces(rec, other record) bool {
+	endpoint, rival := rec.value.(*table.Endpoint), other.value.(*table.Endpoint)
+	if plausible := s.isPlausible(endpoint); plausible != s.isPlausible(rival) {
+		return plausible
+	}
+	if !endpoint.Start().Equal(rival.Start()) {
+		return endpoint.Start().After(rival.Start())
+	}
+	return rec.pair.Revision() > other.pair.Revision()
+}
+
+// isPlausible reports whether an endpoint's start isn't in the future and its data centre is
+// a known one. Other endpoints are used too, unless another one has their address.
+func (s *State) isPlausible(endpoint *table.Endpoint) bool {
+	known := len(s.dataCentres) == 0 || s.dataCentres[endpoint.DataCentre()]
+	return known && endpoint.Start().Sub(s.now) <= maxStartLead
 }
 
 // publish creates a new View from the records.
@@ -324,11 +404,12 @@
 		revision:  s.revision,
 		confirmed: confirmed,
 	}
-	newest := s.newestByAddress()
+	selected, ignored := s.selectEndpoints()
+	view.ignored = ignored
 	for _, key := range slices.Sorted(maps.Keys(s.records)) {
 		switch value := s.records[key].value.(type) {
 		case *table.Endpoint:
-			if newest[value.Address()] != value {
+			if selected[key] == nil {
 				continue
 			}
 			view.endpoints[value.Service()] = append(view.endpoints[value.Service()], value)
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -24,7 +24,7 @@
 	switch kind {
 	case "table":
 		version, err := strconv.ParseUint(value, 10, 64)
-		return table.New(table.Spec{Version: version}), err
+		return table.New(table.Spec{Version: version, Services: []*table.Service{table.NewService(table.ServiceSpec{Name: "s"})}}), err
 	case "endpoint":
 		fields := strings.Fields(value)
 		if len(fields) != 3 {
@@ -123,3 +123,77 @@
 	require.Equal(t, "endpoint/x", findings[0].Key())
 	require.Empty(t, s.DrainFindings())
 }
+
+// decodeForeign decodes endpoints whose values are a service, an address, a start time in
+// seconds and a data centre, and tables whose values are a version and the names of services.
+func decodeForeign(pair store.Pair) (any, error) {
+	kind, name, _ := strings.Cut(pair.Key(), "/")
+	fields := strings.Fields(string(pair.Value()))
+	switch kind {
+	case "table":
+		spec := table.Spec{}
+		var err error
+		spec.Version, err = strconv.ParseUint(fields[0], 10, 64)
+		for _, service := range fields[1:] {
+			spec.Services = append(spec.Services, table.NewService(table.ServiceSpec{Name: service}))
+		}
+		return table.New(spec), err
+	case "member":
+		return table.NewMember(name, "a", fields[0], "2.2.2.2:2"), nil
+	}
+	seconds, err := strconv.Atoi(fields[2])
+	return table.NewEndpoint(table.EndpointSpec{
+		ID: name, Service: fields[0], Address: netip.MustParseAddrPort(fields[1]), Start: time.Unix(int64(seconds), 0), DataCentre: fields[3],
+	}), err
+}
+
+// TestForeignEndpointsTakeNoAddress guards against endpoints of another writer that displace a
+// service's own endpoint from its address, or that stand for an entry.
+func TestForeignEndpointsTakeNoAddress(t *testing.T) {
+	testCases := []struct{ name, foreign string }{
+		{"a service that no configuration names", "archive 1.1.1.1:1 1001 a"},
+		{"a start far ahead", "s 1.1.1.1:1 900000 a"},
+		{"a start far ahead in another service", "other 1.1.1.1:1 900000 a"},
+		{"a data centre that isn't known", "s 1.1.1.1:1 1001 nowhere"},
+		{"the address of this entry", "s 3.3.3.3:3 1001 a"},
+		{"the address of another entry", "s 4.4.4.4:4 1001 a"},
+		{"the address at which another entry hears the others", "s 2.2.2.2:2 1001 a"},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := mirror.New(decodeForeign)
+			s.SetSite([]netip.AddrPort{netip.MustParseAddrPort("3.3.3.3:3")}, []string{"a", "b"})
+			s.Replace(store.NewSnapshot([]store.Pair{
+				pair("table", "1 s other", 1), pair("endpoint/own", "s 1.1.1.1:1 1000 a", 2), pair("member/e", "4.4.4.4:4", 3),
+				pair("endpoint/foreign", tc.foreign, 4),
+			}, 4), start, time.Time{})
+			require.Equal(t, []string{"own"}, ids(s.View()))
+			require.Empty(t, s.View().Endpoints("other"))
+			require.Contains(t, s.View().Ignored(), "endpoint/foreign")
+			require.NotContains(t, s.View().Ignored(), "endpoint/own")
+		})
+	}
+}
+
+// TestServicesComeAndGoWithTheTable guards against an endpoint that stays ignored though a
+// later table names its service, and one that stays in use though a later table doesn't.
+func TestServicesComeAndGoWithTheTable(t *testing.T) {
+	s := mirror.New(decodeForeign)
+	apply := func(revision uint64, pairs ...store.Pair) {
+		var changes []store.Change
+		for _, p := range pairs {
+			changes = append(changes, store.Written(p))
+		}
+		s.Apply(changes, revision, start, time.Time{})
+	}
+	apply(2, pair("endpoint/own", "s 1.1.1.1:1 1000 a", 1), pair("endpoint/later", "later 1.1.1.1:2 1000 a", 2))
+	apply(3, pair("table", "1 s", 3))
+	require.Equal(t, []string{"own"}, ids(s.View()))
+	require.Empty(t, s.View().Endpoints("later"))
+	apply(4, pair("table", "2 s later", 4))
+	require.Len(t, s.View().Endpoints("later"), 1)
+	require.Empty(t, s.View().Ignored())
+	apply(5, pair("table", "3 later", 5))
+	require.Empty(t, ids(s.View()))
+	require.Len(t, s.View().Endpoints("later"), 1)
+}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -251,7 +251,9 @@
 	// byHost holds the routes of each host, those with the longest path prefix first.
 	byHost   map[string][]*Route
 	services map[string]*Service
-	teams    map[string]Team
+	// named holds the names of the services and of those that routes lead to.
+	named map[string]bool
+	teams map[string]Team
 }
 
 // New returns a table with the given fields.
@@ -260,9 +262,13 @@
 		version:  spec.Version,
 		byHost:   make(map[string][]*Route),
 		services: make(map[string]*Service),
+		named:    make(map[string]bool),
 		teams:    spec.Teams,
 	}
 	for _, route := range spec.Routes {
+		for _, split := range route.spec.Splits {
+			t.named[split.service] = true
+		}
 		t.byHost[route.spec.Host] = append(t.byHost[route.spec.Host], route)
 	}
 	for _, routes := range t.byHost {
@@ -270,6 +276,7 @@
 	}
 	for _, service := range spec.Services {
 		t.services[service.Name()] = service
+		t.named[service.Name()] = true
 	}
 	return t
 }
@@ -291,6 +298,9 @@
 // Service returns the service with the given name, or nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Names reports whether the table has a service with the given name or a route to it.
+func (t *Table) Names(service string) bool { return t.named[service] }
+
 // Services calls f for every service, in no particular order.
 func (t *Table) Services(f func(*Service)) {
 	for _, service := range t.services {
