pkg/blame: test only parts of the same request apart

Cause: parts of different requests at the crashed replica were tested apart too. A rare part of a bystander left the deadly one without a verdict, and requests with it, which come more often, were sent as the test and crashed another replica.

Change: entries record and report which parts were in one request at a crash. A request is a test only if it lacks one of those.

--- a/internal/parts/parts.go
+++ b/internal/parts/parts.go
@@ -50,7 +50,11 @@
 	for _, report := range reports {
 		wire := &wirepb.SuspectPart{Part: uint64(report.Part()), Blocked: report.Blocked()}
 		for _, crash := range report.Crashes() {
-			wire.Crashes = append(wire.Crashes, &wirepb.Crash{Incarnation: crash.Incarnation(), AgeMs: toMilliseconds(crash.Age())})
+			encodedCrash := &wirepb.Crash{Incarnation: crash.Incarnation(), AgeMs: toMilliseconds(crash.Age())}
+			for _, companion := range crash.Companions() {
+				encodedCrash.Companions = append(encodedCrash.Companions, uint64(companion))
+			}
+			wire.Crashes = append(wire.Crashes, encodedCrash)
 		}
 		if age, proven := report.Answer(); proven {
 			ms := toMilliseconds(age)
@@ -71,7 +75,11 @@
 	for _, wire := range encoded {
 		var crashes []blame.Crash
 		for _, crash := range wire.GetCrashes() {
-			crashes = append(crashes, blame.NewCrash(crash.GetIncarnation(), fromMilliseconds(crash.GetAgeMs())))
+			var companions []blame.Part
+			for _, companion := range crash.GetCompanions() {
+				companions = append(companions, blame.Part(companion))
+			}
+			crashes = append(crashes, blame.NewCrash(crash.GetIncarnation(), fromMilliseconds(crash.GetAgeMs()), companions...))
 		}
 		report := blame.NewReport(blame.Part(wire.GetPart()), crashes...)
 		if wire.AnsweredAgeMs != nil {
--- a/pkg/blame/blame_test.go
+++ b/pkg/blame/blame_test.go
@@ -288,6 +288,15 @@
 		h.answer(sound, second)
 		require.False(t, h.passes(true, deadly))
 	})
+	t.Run("parts of different requests at one endpoint", func(t *testing.T) {
+		h := newHistory()
+		h.crash(common, deadly)
+		h.tracker.RecordCrash([]blame.Part{rare}, "i-1", h.now)
+		h.sleep(wait)
+		require.False(t, h.passes(true, common, deadly), "the crash of another replica would be needed to tell")
+		h.answer(rare)
+		require.True(t, h.passes(false, rare))
+	})
 	t.Run("each of five crashes has another part", func(t *testing.T) {
 		h := newHistory()
 		for n := range blame.Part(5) {
--- a/pkg/blame/doc.go
+++ b/pkg/blame/doc.go
@@ -8,8 +8,8 @@
 // requests have it. A part that was answered before is blocked only after several
 // crashes without an answer between them, as many requests depend on it.
 //
-// If a crash has several parts without an answer, only one of them may be the cause. A
-// request that has some of them and not all is a test: one such request at a time is let
+// If a request at a crash had several parts without an answer, only one of them may be the
+// cause. A request that has some of them and not all is a test: one such request at a time is let
 // through, and either it is answered, which clears its parts, or the endpoint crashes, which
 // leaves fewer candidates. A part that was at more crashes than the other candidates of one
 // crash is the culprit of it, and the others aren't blocked by that crash.
--- a/pkg/blame/report.go
+++ b/pkg/blame/report.go
@@ -1,6 +1,9 @@
 package blame
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Limits of the exchange of reports.
 const (
@@ -17,11 +20,13 @@
 type Crash struct {
 	incarnation uint64
 	age         time.Duration
+	companions  []Part
 }
 
 // NewCrash returns a crash of an endpoint incarnation, given by the hash of its name.
-func NewCrash(incarnation uint64, age time.Duration) Crash {
-	return Crash{incarnation: incarnation, age: age}
+// Companions are other parts of the request.
+func NewCrash(incarnation uint64, age time.Duration, companions ...Part) Crash {
+	return Crash{incarnation: incarnation, age: age, companions: companions}
 }
 
 // Incarnation returns the hash of the incarnation's name.
@@ -30,6 +35,9 @@
 // Age returns the time since the crash.
 func (c Crash) Age() time.Duration { return c.age }
 
+// Companions returns other parts of the request.
+func (c Crash) Companions() []Part { return c.companions }
+
 // Report is what an entry knows about a suspect part. Ages, unlike times, don't depend on
 // the clocks of hosts.
 type Report struct {
@@ -108,8 +116,8 @@
 			continue
 		}
 		report := NewReport(part)
-		for incarnation, at := range s.crashes {
-			report.crashes = append(report.crashes, NewCrash(incarnation, now.Sub(at)))
+		for incarnation, crash := range s.crashes {
+			report.crashes = append(report.crashes, NewCrash(incarnation, now.Sub(crash.at), slices.Clone(crash.companions)...))
 		}
 		if answered, proven := t.answers.last(part); proven {
 			report = report.WithAnswer(now.Sub(answered))
@@ -141,7 +149,7 @@
 		for _, crash := range report.crashes {
 			at := now.Add(-crash.age)
 			if answered, _ := t.answers.last(report.part); at.After(answered) && crash.age < blockTTL {
-				t.addCrash(report.part, crash.incarnation, at, now)
+				t.addCrash(report.part, crash.incarnation, at, crash.companions, now)
 			}
 		}
 		s := t.suspects[report.part]
--- a/pkg/blame/tracker.go
+++ b/pkg/blame/tracker.go
@@ -51,6 +51,8 @@
 	maxSuspects = 256
 	// maxCrashes limits the crashes that are kept of one part.
 	maxCrashes = 8
+	// maxCompanions limits the parts that are kept of the requests with a part at one crash.
+	maxCompanions = 8
 )
 
 // Part identifies a part of prompts.
@@ -96,8 +98,8 @@
 
 // suspect is the record of a part that was in requests at endpoints that crashed.
 type suspect struct {
-	// crashes holds when endpoint incarnations crashed, by the hash of their names.
-	crashes map[uint64]time.Time
+	// crashes holds the crashes of endpoint incarnations, by the hash of their names.
+	crashes map[uint64]crashRecord
 	// changedAt is when something was last learned about the part.
 	changedAt time.Time
 	// probedAt is when an entry last sent a request with the part though it is blocked, zero
@@ -109,6 +111,13 @@
 	blocked bool
 }
 
+// crashRecord is a crash of an endpoint that held requests with a part.
+type crashRecord struct {
+	at time.Time
+	// companions holds the other parts of these requests, up to maxCompanions.
+	companions []Part
+}
+
 // Change is a part that became blocked or is no longer blocked.
 type Change struct {
 	part    Part
@@ -164,7 +173,7 @@
 		suspected = blocked
 	}
 	for _, part := range suspected {
-		t.addCrash(part, xxhash.Sum64String(incarnation), now, now)
+		t.addCrash(part, xxhash.Sum64String(incarnation), now, suspected, now)
 	}
 	t.updateBlocked(now)
 }
@@ -183,24 +192,35 @@
 	return blocked
 }
 
-// addCrash adds a crash to a part's record. The caller holds t.mu.
-func (t *Tracker) addCrash(part Part, incarnation uint64, at, now time.Time) {
+// addCrash adds a crash to a part's record, and the parts that were in a request with it. The
+// caller holds t.mu.
+func (t *Tracker) addCrash(part Part, incarnation uint64, at time.Time, request []Part, now time.Time) {
 	s := t.suspects[part]
 	if s == nil {
 		t.makeRoom()
 		if t.suspects == nil {
 			t.suspects = make(map[Part]*suspect)
 		}
-		s = &suspect{crashes: make(map[uint64]time.Time)}
+		s = &suspect{crashes: make(map[uint64]crashRecord)}
 		t.suspects[part] = s
 	}
-	if _, known := s.crashes[incarnation]; known {
-		return
+	crash, known := s.crashes[incarnation]
+	if !known {
+		if len(s.crashes) >= maxCrashes {
+			s.removeOldest()
+		}
+		crash.at = at
+	}
+	count := len(crash.companions)
+	for _, other := range request {
+		if other != part && !slices.Contains(crash.companions, other) && len(crash.companions) < maxCompanions {
+			crash.companions = append(crash.companions, other)
+		}
 	}
-	if len(s.crashes) >= maxCrashes {
-		s.removeOldest()
+	if known && len(crash.companions) == count {
+		return
 	}
-	s.crashes[incarnation] = at
+	s.crashes[incarnation] = crash
 	s.changedAt = now
 	t.causes = nil
 }
@@ -208,8 +228,8 @@
 // removeOldest removes the oldest crash.
 func (s *suspect) removeOldest() {
 	var oldest uint64
-	for incarnation, at := range s.crashes {
-		if _, present := s.crashes[oldest]; !present || at.Before(s.crashes[oldest]) {
+	for incarnation, crash := range s.crashes {
+		if _, present := s.crashes[oldest]; !present || crash.at.Before(s.crashes[oldest].at) {
 			oldest = incarnation
 		}
 	}
@@ -331,15 +351,19 @@
 }
 
 // isTest reports whether a request with the parts tells whether a part crashes endpoints
-// that is blocked without having been answered: each crash on it may be due to another
-// part, which the request doesn't have. The caller holds t.mu.
+// that is blocked without having been answered: each crash on it may be due to another part
+// of the request that it was in, which this request doesn't have. Parts of other requests at
+// the endpoint don't count, since most of these crashed nothing, and a test of the one that
+// did would crash another endpoint. The caller holds t.mu.
 func (t *Tracker) isTest(part Part, parts []Part) bool {
 	if _, proven := t.answers.last(part); proven || t.isCulprit(part) {
 		return false
 	}
-	for incarnation := range t.suspects[part].crashes {
-		others := t.otherCandidates(part, incarnation)
-		if !slices.ContainsFunc(others, func(other Part) bool { return !slices.Contains(parts, other) }) {
+	for incarnation, crash := range t.suspects[part].crashes {
+		candidates := t.findCauses().candidates[incarnation]
+		if !slices.ContainsFunc(crash.companions, func(other Part) bool {
+			return slices.Contains(candidates, other) && !slices.Contains(parts, other)
+		}) {
 			return false
 		}
 	}
@@ -429,9 +453,9 @@
 // culprit. The part was never answered. The caller holds t.mu.
 func (t *Tracker) withoutCulprit(part Part) []time.Time {
 	var times []time.Time
-	for incarnation, at := range t.suspects[part].crashes {
+	for incarnation, crash := range t.suspects[part].crashes {
 		if !slices.ContainsFunc(t.otherCandidates(part, incarnation), t.isCulprit) {
-			times = append(times, at)
+			times = append(times, crash.at)
 		}
 	}
 	return times
@@ -442,9 +466,9 @@
 // caller holds t.mu.
 func (t *Tracker) unexplained(s *suspect, answered time.Time) []time.Time {
 	var times []time.Time
-	for incarnation, at := range s.crashes {
-		if at.After(answered) && !t.isExplained(incarnation) {
-			times = append(times, at)
+	for incarnation, crash := range s.crashes {
+		if crash.at.After(answered) && !t.isExplained(incarnation) {
+			times = append(times, crash.at)
 		}
 	}
 	return times
@@ -463,9 +487,9 @@
 // since returns the times of the crashes after a time.
 func (s *suspect) since(start time.Time) []time.Time {
 	var times []time.Time
-	for _, at := range s.crashes {
-		if at.After(start) {
-			times = append(times, at)
+	for _, crash := range s.crashes {
+		if crash.at.After(start) {
+			times = append(times, crash.at)
 		}
 	}
 	return times
@@ -473,8 +497,8 @@
 
 func (s *suspect) lastCrash() time.Time {
 	var last time.Time
-	for _, at := range s.crashes {
-		last = laterOf(last, at)
+	for _, crash := range s.crashes {
+		last = laterOf(last, crash.at)
 	}
 	return last
 }
