internal/webio: bound the bodies of all requests together

Cause: nothing bounded the bodies of all connections, each of which is held up to four times. Ruled out: the responses, which are bounded.

Change: bodies of more than 64 KiB count until their request has ended; one that would take the sum over 32 MiB is rejected at once as not run, with Retry-After, and what its caller still sends is discarded as long as it comes, for 3 s.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -326,31 +325,14 @@
 	return r.forwardBuffered(response, success, progress)
 }
 
-// byteBudget limits bytes of memory that are in use at the same time. The zero value has
-// none in use.
-type byteBudget struct {
-	used atomic.Int64
-}
-
-// take takes bytes unless more than limit would be in use, and reports whether it did.
-func (b *byteBudget) take(bytes, limit int64) bool {
-	if b.used.Add(bytes) > limit {
-		b.used.Add(-bytes)
-		return false
-	}
-	return true
-}
-
-func (b *byteBudget) release(bytes int64) { b.used.Add(-bytes) }
-
 // forwardBuffered reads the complete response and forwards it. A server error is
 // returned instead, since another endpoint may succeed.
 func (r *request) forwardBuffered(response *conns.Response, success bool, progress func()) (attemptResult, *bufferedResponse, string) {
 	limit := smallResponseBytes
 	if isSmall := response.Length >= 0 && response.Length <= smallResponseBytes; !isSmall &&
-		r.entry.buffers.take(maxBufferedBytes, maxAllBufferedBytes) {
+		r.entry.buffers.Take(maxBufferedBytes, maxAllBufferedBytes) {
 		limit = maxBufferedBytes
-		defer r.entry.buffers.release(maxBufferedBytes)
+		defer r.entry.buffers.Release(maxBufferedBytes)
 	}
 	source := progressReader{reader: response, progress: progress}
 	body, err := io.ReadAll(io.LimitReader(source, int64(limit)+1))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -63,7 +63,7 @@
 	storeSyncer  *storeSyncer
 	peers        *peers
 	budget       budget
-	buffers      byteBudget
+	buffers      webio.ByteBudget
 	crashTracker *crashTracker
 	parts        *partGuard
 	log          *requestLog
--- a/internal/webio/conn.go
+++ b/internal/webio/conn.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -196,18 +195,30 @@
 		"code":    rejection.code,
 		"param":   nil,
 	}})
+	retryAfter := ""
+	if rejection.retryAfter > 0 {
+		retryAfter = fmt.Sprintf("Retry-After: %.3f\r\n", rejection.retryAfter.Seconds())
+	}
 	_ = c.SetWriteDeadline(time.Now().Add(lingerTimeout))
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nConnection: close\r\nLentilstand-Outcome: not_run\r\nContent-Length: %d\r\n\r\n%s",
-		rejection.status, http.StatusText(rejection.status), len(body), body)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nConnection: close\r\n%sLentilstand-Outcome: not_run\r\nContent-Length: %d\r\n\r\n%s",
+		rejection.status, http.StatusText(rejection.status), retryAfter, len(body), body)
 }
 
-// linger closes the sending side and briefly discards what the client still sends.
-// Otherwise closing the connection with unread bytes would reset it before the client
-// has read the response.
+// linger closes the sending side and discards what the client still sends, as long as
+// something arrives. Otherwise closing the connection with unread bytes would reset it
+// before the client has read the response.
 func (c *clientConn) linger() {
 	_ = c.CloseWrite()
-	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
+	discarded := make([]byte, readBufferBytes)
+	start := time.Now()
+	for left := lingerBytes; left > 0 && time.Since(start) < maxLinger; {
+		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+		n, err := c.TCPConn.Read(discarded)
+		if err != nil {
+			return
+		}
+		left -= n
+	}
 }
 
 // rejection is the error response to a request that isn't passed to the handler.
@@ -216,6 +227,8 @@
 	code    string
 	message string
 	event   event.Event
+	// retryAfter is when the client may retry, zero if a retry doesn't help.
+	retryAfter time.Duration
 }
 
 // processor checks the size limits of requests between the parser and nbhttp's own
@@ -229,12 +242,35 @@
 	headerBytes     int
 	inBody          bool
 	expectsContinue bool
-	// rejected is the response if the current request's body is too large.
+	// rejected is the response if the current request's body isn't accepted.
 	rejected *rejection
+	// bodies is the budget of all connections, bodyBytes the size of the part of the body
+	// that has been parsed, and reserved what is taken from the budget for the body.
+	bodies              *ByteBudget
+	bodyBytes, reserved int64
+}
+
+func newProcessor(conn *clientConn, bodies *ByteBudget) *processor {
+	return &processor{Processor: nbhttp.NewServerProcessor(), conn: conn, bodies: bodies}
 }
 
-func newProcessor(conn *clientConn) *processor {
-	return &processor{Processor: nbhttp.NewServerProcessor(), conn: conn}
+// reserveBody takes the memory for a body from the budget, and rejects the request if
+// there is none.
+func (p *processor) reserveBody(size int64) {
+	missing := size - p.reserved
+	if size <= smallBodyBytes || missing <= 0 || p.rejected != nil {
+		return
+	}
+	if !p.bodies.Take(missing, maxAllBodiesBytes) {
+		p.rejected = noMemory()
+		return
+	}
+	p.reserved += missing
+}
+
+func (p *processor) releaseBody() {
+	p.bodies.Release(p.reserved)
+	p.bodyBytes, p.reserved = 0, 0
 }
 
 // received counts n bytes that have arrived.
@@ -289,6 +325,17 @@
 	}
 }
 
+// noMemory is the rejection of a body that would take more memory than all requests may.
+func noMemory() *rejection {
+	return &rejection{
+		status:     http.StatusServiceUnavailable,
+		code:       "too_many_bodies",
+		message:    "the bodies of other requests take all memory for them",
+		event:      event.RequestRefused,
+		retryAfter: time.Second,
+	}
+}
+
 // OnHeader records whether the client expects 100 Continue before it sends the body.
 func (p *processor) OnHeader(parser *nbhttp.Parser, key, value string) {
 	if key == "Expect" && value == "100-continue" {
@@ -303,18 +350,32 @@
 	if length > MaxBodyBytes {
 		p.rejected = bodyTooLarge()
 	}
+	p.reserveBody(int64(length))
 	if p.expectsContinue && p.rejected == nil {
 		_, _ = p.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	p.Processor.OnContentLength(parser, length)
 }
 
+// OnBody counts the body of a request that is sent in chunks.
+func (p *processor) OnBody(parser *nbhttp.Parser, data []byte) error {
+	p.bodyBytes += int64(len(data))
+	if p.reserveBody(p.bodyBytes); p.rejected != nil {
+		return errRejected
+	}
+	return p.Processor.OnBody(parser, data)
+}
+
+// errRejected ends the parsing of a request that is rejected.
+var errRejected = errors.New("the request is rejected")
+
 // OnComplete passes on a complete request unless it was rejected.
 func (p *processor) OnComplete(parser *nbhttp.Parser) {
 	if p.rejected != nil {
 		return
 	}
 	p.Processor.OnComplete(parser)
+	p.releaseBody()
 	p.started = time.Time{}
 	p.headerBytes = 0
 	p.inBody = false
--- a/internal/webio/server.go
+++ b/internal/webio/server.go
@@ -32,6 +32,10 @@
 	MaxHeaderBytes = 32 << 10
 	// MaxBodyBytes limits the size of a request's body.
 	MaxBodyBytes = 4 << 20
+	// maxAllBodiesBytes limits the size of the bodies of all requests together, apart from
+	// those of up to smallBodyBytes. A body takes up to four times its size in memory.
+	maxAllBodiesBytes = 32 << 20
+	smallBodyBytes    = 64 << 10
 	// IdleTimeout limits the time that a connection waits for its next request.
 	IdleTimeout = 60 * time.Second
 	// ReadTimeout limits the time to receive a request.
@@ -46,9 +50,11 @@
 	maxAheadBytes = readBufferBytes
 	// writeBufferBytes is the size of the socket's send buffer.
 	writeBufferBytes = 32 << 10
-	// lingerTimeout limits the time to write a rejection, and the time to discard what
-	// the client still sends after it.
+	// lingerTimeout limits the time to write a rejection, and the time for which nothing
+	// arrives of what the client still sends after it.
 	lingerTimeout = 500 * time.Millisecond
+	// maxLinger limits the time to discard what the client still sends.
+	maxLinger = 3 * time.Second
 	// lingerBytes limits the bytes that are discarded. A client that sends a body slightly
 	// above MaxBodyBytes sends all of it before it reads the rejection.
 	lingerBytes = 2 * MaxBodyBytes
@@ -85,6 +91,7 @@
 	handler Handler
 	logger  *zap.Logger
 	engine  *nbhttp.Engine
+	bodies  ByteBudget
 
 	mu                 sync.Mutex
 	listener           *net.TCPListener
@@ -192,7 +199,8 @@
 		return
 	}
 	defer s.untrack(c)
-	processor := newProcessor(c)
+	processor := newProcessor(c, &s.bodies)
+	defer processor.releaseBody()
 	parser := nbhttp.NewParser(c, s.engine, processor, false, nil)
 	defer parser.CloseAndClean(nil)
 	buffer := make([]byte, readBufferBytes)
