internal/webio: write all responses without nbhttp's buffers

Cause: not traced inside the library; suspected to be a buffer that a response returns to the pool twice. Ruled out for requests to endpoints, which didn't use these responses.

Change: Reply and ServeHTTP write their responses as ReplyVerbatim does, so that no response of ours takes buffers from that pool. Date and Content-Type are set as before.

--- a/internal/webio/exchange.go
+++ b/internal/webio/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httputil"
 	"strconv"
@@ -99,31 +100,41 @@
 	_ = e.conn.Close()
 }
 
-// Reply responds with a complete body. It does nothing if a response has already been
-// started.
+// Reply responds with a complete body, and with the headers that every response of the
+// server's own has. It does nothing if a response has already been started.
 func (e *Exchange) Reply(status int, header http.Header, body []byte) {
 	if e.replied {
 		return
 	}
-	e.replied = true
-	target := e.response.Header()
-	for name, values := range header {
-		target[name] = values
-	}
-	_ = e.conn.SetWriteDeadline(time.Now().Add(WriteTimeout))
-	e.response.WriteHeader(status)
-	if len(body) > 0 && e.request.Method != http.MethodHead {
-		_, _ = e.response.Write(body)
+	complete := http.Header{"Date": {time.Now().UTC().Format(http.TimeFormat)}}
+	if len(body) > 0 {
+		complete.Set("Content-Type", "text/plain; charset=utf-8")
 	}
+	maps.Copy(complete, header)
+	// The caller of Reply has nothing to do about a client that has gone.
+	_ = e.ReplyVerbatim(status, complete, body)
 }
 
 // ServeHTTP responds by a standard handler that writes a complete body.
 func (e *Exchange) ServeHTTP(handler http.Handler) {
-	e.replied = true
-	_ = e.conn.SetWriteDeadline(time.Now().Add(WriteTimeout))
-	handler.ServeHTTP(e.response, e.request)
+	recorded := &recorder{header: make(http.Header), status: http.StatusOK}
+	handler.ServeHTTP(recorded, e.request)
+	e.Reply(recorded.status, recorded.header, recorded.body.Bytes())
+}
+
+// recorder is an http.ResponseWriter that keeps the response in memory.
+type recorder struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
 }
 
+func (r *recorder) Header() http.Header { return r.header }
+
+func (r *recorder) WriteHeader(status int) { r.status = status }
+
+func (r *recorder) Write(data []byte) (int, error) { return r.body.Write(data) }
+
 // StartStream starts a chunked response and sends its head at once. The handler must
 // call Close or Abort on the stream. The connection closes after the stream.
 func (e *Exchange) StartStream(status int, header http.Header) (*Stream, error) {
