--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -34,6 +34,27 @@
 // eventPause makes a stream last 0.3 s, so that faults occur while streams are open.
 const eventPause = 10 * time.Millisecond
 
+// siteSpec is the shape of a site.
+type siteSpec struct {
+	entries, ranks int
+	// slots is the number of requests that each replica runs.
+	slots int
+	// pause is the time between the events of a stream, and period that between passes.
+	pause, period time.Duration
+	// stride is the number of tokens of an event, zero if all streams have the same length.
+	stride int
+	// timeout is the time limit of all routes, and addressTTL how long callers may keep the
+	// addresses of entries.
+	timeout, addressTTL time.Duration
+}
+
+// defaultSpec returns the shape of a site in which faults come close together.
+func defaultSpec() siteSpec {
+	return siteSpec{
+		entries: *entries, ranks: ranks, slots: 8, pause: eventPause, period: 40 * time.Millisecond, timeout: 3 * time.Second, addressTTL: time.Second,
+	}
+}
+
 // daemon is an entry or an agent that runs as a process and can be restarted.
 type daemon struct {
 	name    string
@@ -119,6 +140,7 @@
 // site is a fake platform with the daemons that run on it.
 type site struct {
 	t       *testing.T
+	spec    siteSpec
 	kv      *stand.KV
 	store   *fakes.Store
 	group   *fakes.Group
@@ -165,8 +187,8 @@
 	return "", 0
 }
 
-func newSite(t *testing.T, entries int) *site {
-	s := &site{t: t, kv: stand.NewKV()}
+func newSite(t *testing.T, spec siteSpec) *site {
+	s := &site{t: t, spec: spec, kv: stand.NewKV()}
 	s.store = fakes.NewStore(s.kv)
 	server := httptest.NewServer(s.store)
 	t.Cleanup(func() {
@@ -180,7 +202,7 @@
 		s.addPlain()
 	}
 	s.writeNextConfig()
-	for i := range entries {
+	for i := range spec.entries {
 		ip := fmt.Sprintf("%s.%d", network, i+1)
 		e := &daemon{
 			name: fmt.Sprintf("entry-%d", i+1), admin: fmt.Sprintf("%s:%d", ip, port+3), relay: newRelay(t, server.Listener.Addr().String()),
@@ -188,9 +210,9 @@
 		}
 		e.args = []string{"entry", "--platform", "--settings", s.writeSettings(e.name, fmt.Sprintf(
 			`{"name": %q, "data_centre": "a", "ip": %q, "peer_port": %d, "listen": %q, "directory_listen": %q,
-			"ready_listen": "%s:%d", "admin_listen": "%s:%d", "store": %q, "address_ttl_s": 1, "stop_bound_s": 8,
+			"ready_listen": "%s:%d", "admin_listen": "%s:%d", "store": %q, "address_ttl_s": %d, "stop_bound_s": 8,
 			"retry_ratio": 0.2, "retry_extra": 50, "retry_window_s": 10, "cold_overage": 1.5, "cold_extra": 5, "log_level": "warn"}`,
-			e.name, ip, peer, e.front, e.directory, ip, port+2, ip, port+3, e.relay.address()))}
+			e.name, ip, peer, e.front, e.directory, ip, port+2, ip, port+3, e.relay.address(), int(spec.addressTTL.Seconds())))}
 		s.entries = append(s.entries, e)
 	}
 	for _, d := range s.daemons() {
@@ -213,7 +235,7 @@
 // startRanks starts the group and one agent for each of its ranks.
 func (s *site) startRanks(network string, port, peer int) {
 	var addresses []string
-	for i := range ranks {
+	for i := range s.spec.ranks {
 		addresses = append(addresses, fmt.Sprintf("%s.%d:%d", network, firstRankHost+i, port))
 	}
 	popularity := func(_, expert int) uint64 {
@@ -222,7 +244,7 @@
 		}
 		return 100
 	}
-	group, err := fakes.NewGroup(addresses, sets, experts, 40*time.Millisecond, popularity)
+	group, err := fakes.NewGroup(addresses, sets, experts, s.spec.period, popularity)
 	require.NoError(s.t, err)
 	s.t.Cleanup(group.Close)
 	s.group, s.rankAddress = group, addresses[0]
@@ -242,7 +264,8 @@
 
 func (s *site) newReplica(id string) *fakes.Replica {
 	r := fakes.NewReplica(id, events, &s.script)
-	r.SetPause(eventPause)
+	r.SetPause(s.spec.pause)
+	r.SetStride(s.spec.stride)
 	s.t.Cleanup(r.Close)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -252,7 +275,7 @@
 
 func (s *site) register(id, service, address string) {
 	s.put("servers/"+id, map[string]any{
-		"service": service, "address": address, "zone": "a", "slots": 8, "state": "ready", "coldLeftMs": 0, "version": "v1", "sequence": 0, "born": 1,
+		"service": service, "address": address, "zone": "a", "slots": s.spec.slots, "state": "ready", "coldLeftMs": 0, "version": "v1", "sequence": 0, "born": 1,
 	})
 }
 
@@ -308,7 +331,7 @@
 	s.mu.Unlock()
 	route := func(prefix, kind, service string, attempts int, resume bool) map[string]any {
 		return map[string]any{
-			"name": prefix, "host": "club.example", "prefix": prefix, "kind": kind, "timeoutMs": 3000, "targetLatencyMs": 400,
+			"name": prefix, "host": "club.example", "prefix": prefix, "kind": kind, "timeoutMs": s.spec.timeout.Milliseconds(), "targetLatencyMs": 400,
 			"service": service, "maxAttempts": attempts, "streamResume": resume, "gapAimMs": 120,
 		}
 	}
@@ -321,7 +344,7 @@
 		"services": []any{
 			map[string]any{"name": "plain", "healthPath": "/healthz", "maxConns": 50},
 			map[string]any{"name": "model", "healthPath": "/healthz", "maxConns": 50, "engine": map[string]any{
-				"slots": 8, "sets": sets, "experts": experts, "places": places, "spare": 3, "stride": 5, "step_ms": 6, "expertMb": 1, "linkMbps": 1000,
+				"slots": s.spec.slots, "sets": sets, "experts": experts, "places": places, "spare": 3, "stride": 5, "step_ms": 6, "expertMb": 1, "linkMbps": 1000,
 			}},
 		},
 		"tenants": []any{map[string]any{"name": "rowers", "apiKeys": []string{"key", versionKey(version)}, "priority": 1}},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -74,7 +74,7 @@
 // soak runs the fault schedule of a seed and checks the guarantees. If plantedFault
 // isn't empty, it names a fault of plantedFaults that the checks must report.
 func soak(t *testing.T, seed uint64, plantedFault string) {
-	r := &run{t: t, site: newSite(t, *entries), random: rand.New(rand.NewPCG(seed, 0)), plantedFault: plantedFault, plannedOnly: seed%plannedSeedInterval == 0}
+	r := &run{t: t, site: newSite(t, defaultSpec()), random: rand.New(rand.NewPCG(seed, 0)), plantedFault: plantedFault, plannedOnly: seed%plannedSeedInterval == 0}
 	r.history = newHistory(r.site)
 	require.Eventually(t, func() bool { return len(r.history.newCaller().resolve(r.site.entries[0])) == *entries }, 15*time.Second, 50*time.Millisecond)
 	ctx, cancel := context.WithCancel(context.Background())
