--- a/internal/soak/planned_test.go
+++ b/internal/soak/planned_test.go
@@ -142,7 +142,8 @@
 		chosen := work[p.random.IntN(len(work))]
 		p.activeFaults.Go(func() { chosen(random) })
 		if *plannedStore && p.random.IntN(6) == 0 {
-			p.activeFaults.Go(func() { p.silenceStore(random) })
+			storeRandom := rand.New(rand.NewPCG(p.random.Uint64(), 0))
+			p.activeFaults.Go(func() { p.silenceStore(storeRandom) })
 		}
 		time.Sleep(randomDuration(p.random, 200*time.Millisecond, 1500*time.Millisecond))
 	}
