pkg/sched: say which limit a request waited for in vain

Cause: the end of the time in the queue had one error, whatever kept the request there.

Change: if all endpoints have limits, it is refused with the one that allows a request first.

--- a/pkg/sched/limit_test.go
+++ b/pkg/sched/limit_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -173,3 +174,17 @@
 	require.NoError(t, err)
 	require.NotNil(t, w, "it may wait for 50 ms")
 }
+
+// TestRequestsThatWaitForALimitInVainSayWhich guards against callers that hear of a full queue,
+// and of a time to come back that has nothing to do with the limit, if a limit turns out to
+// allow a queued request too late. The clock stands still, so that it never does.
+func TestRequestsThatWaitForALimitInVainSayWhich(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newLimitedService(1, 1, 1, &now)
+	require.True(t, admitNow(s, 20))
+	for admitNow(s, 20) {
+	}
+	_, err := s.Acquire(context.Background(), Request{MaxWait: 200 * time.Millisecond})
+	require.ErrorIs(t, err, ErrLimited)
+	require.ErrorContains(t, err, "0")
+}
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -109,7 +109,7 @@
 	case assignment := <-w.assigned:
 		return assignment, nil
 	case <-timer.C:
-		return s.Cancel(w, ErrQueueTimeout)
+		return s.Cancel(w, s.queueTimeoutError(req))
 	case <-ctx.Done():
 		assignment, err := s.Cancel(w, ctx.Err())
 		if err == nil {
@@ -120,6 +120,17 @@
 	}
 }
 
+// queueTimeoutError returns the error of a request that has been in the queue for its MaxWait:
+// ErrLimited if the limits of all endpoints kept it there.
+func (s *Service) queueTimeoutError(req Request) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, next := s.limitedRate(req.Tried); next != nil {
+		return limitedError{next.spec.ID()}
+	}
+	return ErrQueueTimeout
+}
+
 // timeToLimitedSend returns the time until the first endpoint takes a request, if all of
 // them have limits, and otherwise zero.
 func (s *Service) timeToLimitedSend() time.Duration {
