internal/edge: announce suspects at most every 50 ms

A crash cuts off many requests at once, and each of them had the entry send a hello to all members: at 340 entries thousands of datagrams within milliseconds.

Change: announcements are at least 50 ms apart, and only crashes that are certain are announced at once; others go with the usual hellos. The package's tests pass.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -197,8 +197,8 @@
 	r.entry.crashTracker.recordCrash(r.fingerprint, endpoint.Incarnation(), !r.answered.Load())
 	if liveness == conns.Down {
 		r.entry.parts.recordCrash(r, endpoint)
+		r.entry.peers.announceSuspects()
 	}
-	r.entry.peers.announceSuspects()
 }
 
 // retryLimits returns the current limits of the retry budget.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -32,6 +32,8 @@
 	// fullReportInterval is the mean number of rounds of hellos from one that reports all
 	// suspects to the next. They are random rounds, since each round goes to other members.
 	fullReportInterval = 10
+	// announceInterval is the least time between two announcements of suspects.
+	announceInterval = 50 * time.Millisecond
 	// startupPeriod is how long after its start a process asks for reports on suspect parts
 	// with each of its hellos.
 	startupPeriod = 2 * time.Second
@@ -65,6 +67,10 @@
 	// stop.
 	leaving   map[string]bool
 	startedAt time.Time
+	// announcing is set while an announcement of suspects is due, and announcedAt is when
+	// the last one was sent.
+	announcing  bool
+	announcedAt time.Time
 	// newestRevision is the newest revision announced by a peer, and aheadSince when
 	// peers were first ahead of this entry. newestPeer and newestAddress are those of
 	// the peer that announced newestRevision last.
@@ -207,8 +213,22 @@
 }
 
 // announceSuspects tells all members at once which suspects have changed. Hellos in turn
-// take seconds in a large fleet, in which further endpoints may crash.
-func (p *peers) announceSuspects() { p.announce() }
+// take seconds in a large fleet, in which further endpoints may crash. As one crash makes
+// many requests suspect, announcements are at least announceInterval apart.
+func (p *peers) announceSuspects() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.announcing {
+		return
+	}
+	p.announcing = true
+	time.AfterFunc(announceInterval-time.Since(p.announcedAt), func() {
+		p.mu.Lock()
+		p.announcing, p.announcedAt = false, time.Now()
+		p.mu.Unlock()
+		p.announce()
+	})
+}
 
 // announceLeaving tells all members at once that this entry stops, so that their directories
 // don't list it any more, whatever the store says.
