--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -135,7 +135,7 @@
 		return refusal
 	}
 	if r.entry.crashTracker.isBlocked(r.fingerprint) {
-		return errBlocked()
+		return refuseBlocked()
 	}
 	return r.entry.parts.checkSend(r)
 }
--- a/internal/edge/parts.go
+++ b/internal/edge/parts.go
@@ -36,12 +36,13 @@
 	}
 	now := time.Now()
 	if refused, next := g.tracker.Check(shared, g.probeRank, now); refused {
-		return errPartRefused(next.Sub(now))
+		return refusePart(next.Sub(now))
 	}
 	return nil
 }
 
-func errPartRefused(retryAfter time.Duration) *refusal {
+// refusePart returns the refusal of a request with a blocked part.
+func refusePart(retryAfter time.Duration) *refusal {
 	return &refusal{
 		status: http.StatusServiceUnavailable, reason: "a part of the prompt is blocked: endpoints crashed on it",
 		retryAfter: max(time.Second, retryAfter),
@@ -58,7 +59,7 @@
 	started, ok := g.tracker.BeginProbe(r.parts, g.probeRank, now)
 	if !ok {
 		_, next := g.tracker.Check(r.parts, g.probeRank, now)
-		return errPartRefused(next.Sub(now))
+		return refusePart(next.Sub(now))
 	}
 	if r.probe = started; !started.IsZero() {
 		event.PartProbed.Log(g.entry.logger, zap.String("request", r.head.ID), zap.String("parts", parts.Format(r.parts...)))
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -118,8 +118,8 @@
 	retryAfter time.Duration
 }
 
-// errBlocked returns the refusal of a request that has crashed endpoints.
-func errBlocked() *refusal {
+// refuseBlocked returns the refusal of a request that has crashed endpoints.
+func refuseBlocked() *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, reason: "the request is blocked: endpoints died while running it"}
 }
 
@@ -150,7 +150,7 @@
 	r.service = r.entry.service(r.route.Service(xxhash.Sum64String(r.head.ID)))
 	r.fingerprint = requestFingerprint(r.method, r.target, r.team.Name(), r.body)
 	if r.entry.crashTracker.isBlocked(r.fingerprint) {
-		return errBlocked()
+		return refuseBlocked()
 	}
 	r.parts = parts.Of(r.service.Name(), r.head.SharedParts)
 	if refusal := r.entry.parts.check(r.parts); refusal != nil {
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -327,7 +327,7 @@
 // Reasons why an endpoint isn't used.
 const (
 	unknownService = "no configuration names its service"
-	reservedByOwn  = "its address is that of an entry"
+	entryAddress   = "its address is that of an entry"
 	replaced       = "another endpoint started later at its address"
 )
 
@@ -358,7 +358,7 @@
 			ignored[key] = unknownService
 			continue
 		case s.reserved[address] || entries[address]:
-			ignored[key] = reservedByOwn
+			ignored[key] = entryAddress
 			continue
 		}
 		loser := key
