internal/edge: tell why evidence of a crash isn't used

No log or metric told a crash that was forgotten from one that was never counted or was cleared: request_isolated is logged at the third crash only.

Change: the counter lentilstand_lost_attempts has each attempt that ended without the whole response by what was found out about the endpoint (down, unknown, alive, leaving) or why nothing was (caller_gone, deadline_passed, given_up). lentilstand_crash_records counts crashes, blocks, evictions and completions of the records; request_suspected and request_cleared log single ones. No change of logic.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -167,13 +167,21 @@
 		r.entry.crashTracker.recordSuccess(r.fingerprint)
 	case result == failed && detail == errPartBlocked.Error():
 		// The entry gave up the attempt.
+		r.entry.lostAttempts.Add(1, "given_up")
 	case result == failed && ctx.Err() == nil:
 		r.service.RecordFailure(assignment, detail)
 		if detail != errSilent.Error() {
 			r.recordCrash(ctx, assignment)
+		} else {
+			r.entry.lostAttempts.Add(1, "given_up")
 		}
 	case result == notSent && ctx.Err() == nil, result == failed && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		r.service.RecordFailure(assignment, detail)
+		if result == failed {
+			r.entry.lostAttempts.Add(1, "deadline_passed")
+		}
+	case result == failed:
+		r.entry.lostAttempts.Add(1, "caller_gone")
 	case result == errored:
 		// An error response may be caused by the request rather than the endpoint, so
 		// it counts less than a failure.
@@ -187,14 +195,18 @@
 // all that were in progress.
 func (r *request) recordCrash(ctx context.Context, assignment sched.Assignment) {
 	if r.service.IsLeaving(assignment) {
+		r.entry.lostAttempts.Add(1, "leaving")
 		return
 	}
 	endpoint := assignment.Endpoint()
 	liveness := r.entry.pool.Probe(ctx, endpoint.Address())
+	r.entry.lostAttempts.Add(1, liveness.String())
 	if liveness == conns.Alive {
 		return
 	}
-	r.entry.crashTracker.recordCrash(r.fingerprint, endpoint.Incarnation(), !r.answered.Load())
+	crashes := r.entry.crashTracker.recordCrash(r.fingerprint, endpoint.Incarnation(), !r.answered.Load())
+	event.RequestSuspected.Log(r.entry.logger, zap.String("request", r.head.ID), zap.String("endpoint", endpoint.ID()),
+		zap.Uint64("fingerprint", r.fingerprint), zap.Stringer("finding", liveness), zap.Int("crashes", crashes))
 	if liveness == conns.Down {
 		r.entry.parts.recordCrash(r, endpoint)
 		r.entry.peers.announceSuspects()
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -41,6 +41,8 @@
 // their records in hello datagrams.
 type crashTracker struct {
 	logger *zap.Logger
+	// changes counts the changes of records by kind, nil if they aren't counted.
+	changes func(kind string)
 
 	mu       sync.Mutex
 	suspects map[uint64]*suspect
@@ -96,6 +98,13 @@
 	return &crashTracker{logger: logger, suspects: make(map[uint64]*suspect)}
 }
 
+// countChange counts a change of the records.
+func (c *crashTracker) countChange(kind string) {
+	if c.changes != nil {
+		c.changes(kind)
+	}
+}
+
 // requestFingerprint returns a hash of a request's content. A caller's retries of a
 // request have the same fingerprint, but each has a new request id.
 func requestFingerprint(method, target, team string, body []byte) uint64 {
@@ -118,11 +127,16 @@
 
 // recordCrash records that an endpoint incarnation crashed while it held a request.
 // Unanswered is set if it hadn't begun to answer.
-func (c *crashTracker) recordCrash(fingerprint uint64, incarnation string, unanswered bool) {
+// It returns the number of crashes that are known of the request.
+func (c *crashTracker) recordCrash(fingerprint uint64, incarnation string, unanswered bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.add(fingerprint, xxhash.Sum64String(incarnation), unanswered, now, now)
+	if s := c.suspects[fingerprint]; s != nil {
+		return len(s.crashes)
+	}
+	return 0
 }
 
 // add adds a crash to a suspect. The caller holds c.mu.
@@ -140,7 +154,9 @@
 	s.crashes[incarnation] = at
 	s.unanswered = s.unanswered || unanswered
 	s.changedAt = now
+	c.countChange("crash")
 	if len(s.crashes) == blockThreshold {
+		c.countChange("blocked")
 		event.RequestIsolated.Log(c.logger, zap.Uint64("fingerprint", fingerprint), zap.Int("endpoints", len(s.crashes)))
 	}
 }
@@ -150,6 +166,7 @@
 func (c *crashTracker) insert(fingerprint uint64, now time.Time) *suspect {
 	if len(c.suspects) >= maxSuspects {
 		delete(c.suspects, slices.MinFunc(slices.Collect(maps.Keys(c.suspects)), c.compare))
+		c.countChange("evicted")
 	}
 	s := &suspect{crashes: make(map[uint64]time.Time), changedAt: now}
 	c.suspects[fingerprint] = s
@@ -163,10 +180,16 @@
 func (c *crashTracker) recordSuccess(fingerprint uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s := c.suspects[fingerprint]; s != nil {
-		now := time.Now()
-		s.complete(now, now)
+	s := c.suspects[fingerprint]
+	if s == nil {
+		return
 	}
+	if len(s.crashes) > 0 {
+		c.countChange("cleared")
+		event.RequestCleared.Log(c.logger, zap.Uint64("fingerprint", fingerprint), zap.Int("crashes", len(s.crashes)))
+	}
+	now := time.Now()
+	s.complete(now, now)
 }
 
 // complete removes the crashes up to the time at which the request ran to completion.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -69,6 +69,9 @@
 	log          *requestLog
 	requests     meter.Counter
 	firstByte    meter.Histogram
+	// lostAttempts counts the attempts that ended without the endpoint's whole response, by
+	// what was learned about the endpoint.
+	lostAttempts meter.Counter
 
 	mu       sync.Mutex
 	services map[string]*sched.Service
@@ -107,6 +110,10 @@
 	e.view.Store(e.storeSyncer.state.View())
 	e.requests = metrics.Counter("lentilstand_requests", "Finished requests by result.", "result")
 	e.firstByte = metrics.Histogram("lentilstand_first_byte", "Time until the first byte of a response.", "service")
+	e.lostAttempts = metrics.Counter("lentilstand_lost_attempts",
+		"Attempts that ended without the whole response, by what was learned about the endpoint or why nothing was.", "finding")
+	crashRecords := metrics.Counter("lentilstand_crash_records", "Changes of the records of requests that may crash endpoints.", "change")
+	e.crashTracker.changes = func(kind string) { crashRecords.Add(1, kind) }
 	metrics.Gauge("lentilstand_table_version", "Version of the routing table in use.", "mark", func(report func(int64, string)) {
 		if t := e.view.Load().Table(); t != nil {
 			report(int64(t.Version()), "obeyed")
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -42,6 +42,8 @@
 	PartSuspected    = register(2016, "part_suspected", warnLevel, "An endpoint crashed before it began to answer a request; the shared `parts` of its prompt are suspect.")
 	PartBlocked      = register(2017, "part_blocked", warnLevel, "Requests with a part of a prompt are refused, since endpoints crashed on it `crashes` times without an answer.")
 	PartProbed       = register(2019, "part_probed", infoLevel, "A request is sent though endpoints crashed on requests with a part of its prompt, to learn whether that part is the cause; others wait for the outcome.")
+	RequestSuspected = register(2020, "request_suspected", warnLevel, "An endpoint crashed while it held a request, or may have; `crashes` is the number of such endpoints that are known by now, and `finding` what was learned about the last one.")
+	RequestCleared   = register(2021, "request_cleared", infoLevel, "A request at which `crashes` endpoints had crashed ran to completion, so that these crashes don't count any more.")
 	PartCleared      = register(2018, "part_cleared", infoLevel, "Requests with a part of a prompt are no longer refused.")
 	ClaimUnsettled   = register(2010, "claim_unsettled", warnLevel, "The outcome of a claimed request could not be written to the key-value service.")
 )
