internal/edge: failing tests of crashes that aren't counted

Replicas crash 60 ms after a request has arrived, and the attempt has ended for another reason by then.

--- /dev/null
+++ b/internal/edge/abandoned_test.go
@@ -0,0 +1,209 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lentilstand/lentilstand/platform/fakes"
+)
+
+// crashDelay is the time from the arrival of a deadly request to the crash, and patience how long
+// a caller that leaves waits.
+const (
+	crashDelay = 60 * time.Millisecond
+	patience   = 20 * time.Millisecond
+)
+
+// deadlyHeader returns the headers of a request on which replicas crash whose deadly part is dead01.
+// The part isn't shared, so that the request counts as a whole.
+func deadlyHeader() map[string]string {
+	return map[string]string{"Lentilstand-Token-Counts": "100,40", "Lentilstand-Prompt-Prefix": "dead01:100"}
+}
+
+// abandon sends a request, and closes the connection once the response has begun or the caller's
+// patience has passed.
+func (s *site) abandon(index int, path, body string, header map[string]string, patience time.Duration) {
+	ctx, cancel := context.WithTimeout(s.t.Context(), patience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.settings[index].ListenAddress()+path, strings.NewReader(body))
+	require.NoError(s.t, err)
+	request.Host = "club.example"
+	request.Header.Set("Authorization", "Bearer key-1")
+	request.Header.Set("Lentilstand-Request-Id", "request-2")
+	request.Header.Set("Lentilstand-Deadline-Ms", "3000")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	received, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	defer received.Body.Close()
+	_, _ = io.ReadAtLeast(received.Body, make([]byte, 64), 1)
+}
+
+// startDeadlySite starts two entries before replicas that crash on the part dead01.
+func startDeadlySite(t *testing.T, replicas int, events int) *site {
+	var ids []string
+	for n := range replicas {
+		ids = append(ids, fmt.Sprint("i-", n+1))
+	}
+	s := startSite(t, ids...)
+	s.startEntry("entry-2")
+	s.waitReady(1)
+	for _, r := range s.replicas {
+		r.SetDeadlyPart("dead01")
+		r.SetCrashDelay(crashDelay, events)
+	}
+	return s
+}
+
+// requireBlocked checks that all entries refuse the deadly request.
+func (s *site) requireBlocked(path string) {
+	s.t.Helper()
+	before := s.received()
+	for index := range s.entries {
+		require.Equal(s.t, http.StatusServiceUnavailable, s.call(index, http.MethodPost, path, "deadly", deadlyHeader()).status)
+	}
+	require.Equal(s.t, before, s.received(), "no replica gets the request")
+}
+
+// TestCrashCountsThoughItsCallerHasLeft guards against a request that crashes replica after
+// replica, because each of its attempts has ended for another reason before the crash.
+func TestCrashCountsThoughItsCallerHasLeft(t *testing.T) {
+	testCases := []struct {
+		name, path string
+		// events is the number of events that the replicas send before they crash.
+		events int
+		// deadline is set if the caller stays, and its time limit passes.
+		deadline bool
+	}{
+		{name: "stream", path: "/once/1"},
+		{name: "stream that has begun", path: "/once/1", events: 1},
+		{name: "idempotent request", path: "/check/1"},
+		{name: "request that must not be repeated", path: "/book/1"},
+		{name: "time limit", path: "/check/1", deadline: true},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s := startDeadlySite(t, 5, tc.events)
+			for n := range 3 {
+				header := deadlyHeader()
+				if tc.deadline {
+					header["Lentilstand-Deadline-Ms"] = fmt.Sprint(patience.Milliseconds())
+					s.call(n%2, http.MethodPost, tc.path, "deadly", header)
+				} else {
+					s.abandon(n%2, tc.path, "deadly", header, patience)
+				}
+				time.Sleep(time.Second)
+				require.Equal(t, n+1, s.received())
+			}
+			s.requireBlocked(tc.path)
+		})
+	}
+}
+
+// TestPartIsBlockedThoughItsCallerHasLeft is the same for a part that requests share.
+func TestPartIsBlockedThoughItsCallerHasLeft(t *testing.T) {
+	s := startPromptSite(t)
+	for _, r := range s.replicas {
+		r.SetCrashDelay(crashDelay, 0)
+	}
+	before := s.received()
+	s.abandon(0, "/draft/1", "", prompt(10, "a0:40,dead01:100"), patience)
+	time.Sleep(time.Second)
+	for n := range 6 {
+		require.Equal(t, http.StatusServiceUnavailable, s.call(n%2, http.MethodPost, "/draft/1", "", prompt(20+n, "a0:40,dead01:100")).status)
+	}
+	require.Equal(t, 1, s.received()-before)
+	require.Equal(t, http.StatusOK, s.call(0, http.MethodPost, "/draft/1", "", prompt(30, "a0:40")).status, "the other part is sound")
+}
+
+// TestCrashCountsThoughItsRecordHasGone guards against a crash that isn't counted because the
+// store removed the replica a moment before, as it does without regard to entries that are late.
+func TestCrashCountsThoughItsRecordHasGone(t *testing.T) {
+	s := startDeadlySite(t, 5, 0)
+	for n := range 3 {
+		before := s.received()
+		done := make(chan response, 1)
+		go func() { done <- s.call(n%2, http.MethodPost, "/once/1", "deadly", deadlyHeader()) }()
+		require.Eventually(t, func() bool { return s.received() > before }, time.Second, time.Millisecond)
+		for id, r := range s.replicas {
+			if len(r.Requests()) > 0 {
+				s.remove("servers/" + id)
+				delete(s.replicas, id)
+			}
+		}
+		require.Equal(t, http.StatusBadGateway, (<-done).status)
+		time.Sleep(200 * time.Millisecond)
+	}
+	s.requireBlocked("/once/1")
+}
+
+// TestCrashCountsThoughItsAddressIsTakenOver guards against a crash that isn't counted because
+// another replica accepts connections at the address when the entry looks.
+func TestCrashCountsThoughItsAddressIsTakenOver(t *testing.T) {
+	s := startDeadlySite(t, 5, 0)
+	for n := range 3 {
+		before := s.received()
+		s.abandon(n%2, "/once/1", "deadly", deadlyHeader(), patience)
+		require.Eventually(t, func() bool { return s.received() > before }, time.Second, time.Millisecond)
+		for id, r := range s.replicas {
+			if len(r.Requests()) == 0 || strings.HasPrefix(id, "new") {
+				continue
+			}
+			var successor *fakes.Replica
+			require.Eventually(t, func() bool {
+				var err error
+				successor, err = fakes.NewReplicaAt(r.Address(), "new-"+id, 8, &s.script)
+				return err == nil
+			}, time.Second, time.Millisecond)
+			t.Cleanup(successor.Close)
+			delete(s.replicas, id)
+			s.replicas["new-"+id] = successor
+			successor.SetDeadlyPart("dead01")
+			s.remove("servers/" + id)
+			s.register("new-"+id, "gmunden", "ready")
+		}
+		time.Sleep(time.Second)
+	}
+	s.requireBlocked("/once/1")
+}
+
+// TestOnlyCompletionsClearCrashes guards against a request whose crashes are forgotten at all
+// entries because a caller left its stream, or a replica turned it away.
+func TestOnlyCompletionsClearCrashes(t *testing.T) {
+	s := startDeadlySite(t, 6, 0)
+	for _, r := range s.replicas {
+		r.SetCrashDelay(0, 0)
+	}
+	crash := func(index int) {
+		require.Equal(t, http.StatusBadGateway, s.call(index, http.MethodPost, "/once/1", "deadly", deadlyHeader()).status)
+	}
+	setDeadly := func(part string) {
+		for _, r := range s.replicas {
+			r.SetDeadlyPart(part)
+			r.SetPause(50 * time.Millisecond)
+		}
+	}
+	crash(0)
+	crash(1)
+	setDeadly("")
+	s.abandon(0, "/once/1", "deadly", deadlyHeader(), time.Second)
+	s.script.Add(fakes.TooManyRequests)
+	require.Equal(t, http.StatusTooManyRequests, s.call(1, http.MethodPost, "/once/1", "deadly", deadlyHeader()).status)
+	time.Sleep(300 * time.Millisecond)
+	setDeadly("dead01")
+	crash(0)
+	time.Sleep(300 * time.Millisecond)
+	s.requireBlocked("/once/1")
+}
