internal/edge, pkg/holds: count crashes right after an attempt has ended

Cause: a crash counted only if the attempt's own connection showed it. If the caller left, the time limit passed or the entry gave up the attempt first, nobody looked at the replica any more; nor if its record had gone, or if another process accepted connections at its address. A long response that broke off even counted as a completion. The class: evidence of a crash is thrown away because of what another party did. Ruled out: the size of the table of suspects and the exchange between entries; with callers that stay, three crashes block the request.

Change: pkg/holds remembers for a second which unanswered requests an endpoint may still hold. The crash detector checks such endpoints every 100 ms, by an idle connection if there is one, and a crash counts for all that the incarnation held, requests and parts. Another incarnation at the name or address shows that one has ended. An endpoint's end is a planned one only if it was known to leave for 500 ms.

Why sound requests aren't blocked: only unanswered ones are remembered, for a second; an unreachable host doesn't count here; three such crashes without a completion are needed (TestCallersThatLeaveBlockNoSoundRequest).

Before: the tests of crashes that aren't counted fail, and so does the new case of a long response: the fourth request reaches a replica.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -290,6 +290,15 @@
 	}
 }
 
+// Check is like Probe, but opens no connection if an idle one shows that the process runs.
+func (p *Pool) Check(ctx context.Context, address netip.AddrPort) Liveness {
+	if c := p.takeIdle(address); c != nil {
+		p.putIdle(c)
+		return Alive
+	}
+	return p.Probe(ctx, address)
+}
+
 func (p *Pool) runProbe(address netip.AddrPort, running *probe) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -255,3 +255,29 @@
 	cancel()
 	require.Equal(t, conns.Unknown, pool.Probe(ctx, address))
 }
+
+// TestCheckUsesIdleConnections guards against a connection for each check of an endpoint, and
+// against an idle one that hides that the endpoint's process has ended.
+func TestCheckUsesIdleConnections(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	accepted := make(chan net.Conn, 8)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	var pool conns.Pool
+	for range 5 {
+		require.Equal(t, conns.Alive, pool.Check(context.Background(), address))
+	}
+	require.Equal(t, int64(1), pool.Opened())
+	require.NoError(t, listener.Close())
+	require.NoError(t, (<-accepted).Close())
+	require.Eventually(t, func() bool { return pool.Check(context.Background(), address) == conns.Down }, time.Second, time.Millisecond)
+}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -42,8 +42,15 @@
 type attemptResult int
 
 const (
-	// finished means that the caller has its response or can no longer receive one.
+	// finished means that the endpoint's response was read whole and forwarded, as far as
+	// the caller could receive it.
 	finished attemptResult = iota
+	// abandoned means that the caller can no longer receive the response, which the endpoint
+	// was still sending.
+	abandoned
+	// interrupted means that the endpoint broke off a response which the caller has begun to
+	// receive and which can't be resumed.
+	interrupted
 	// notRun means that the endpoint did not run the request and never will.
 	notRun
 	// notSent means that no byte was sent to the endpoint.
@@ -108,7 +115,7 @@
 		}
 		r.recordResult(ctx, assignment, result, detail)
 		switch result {
-		case finished:
+		case finished, abandoned, interrupted:
 			return
 		case notSent:
 			if dials++; dials < maxDials && ctx.Err() == nil {
@@ -165,23 +172,24 @@
 		now := time.Now()
 		r.entry.runTimes.Record(r.route.Name(), now.Sub(r.receivedAt), now)
 		r.entry.crashTracker.recordSuccess(r.fingerprint)
+	case result == abandoned:
+		r.service.RecordSuccess(assignment)
+		r.entry.detector.attemptEnded(newHeldRequest(r, assignment), "caller_gone")
 	case result == failed && detail == errPartBlocked.Error():
-		// The entry gave up the attempt.
-		r.entry.lostAttempts.Add(1, "given_up")
-	case result == failed && ctx.Err() == nil:
+		r.entry.detector.attemptEnded(newHeldRequest(r, assignment), "given_up")
+	case result == failed && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		r.service.RecordFailure(assignment, detail)
-		if detail != errSilent.Error() {
-			r.recordCrash(ctx, assignment)
-		} else {
-			r.entry.lostAttempts.Add(1, "given_up")
-		}
-	case result == notSent && ctx.Err() == nil, result == failed && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		r.entry.detector.attemptEnded(newHeldRequest(r, assignment), "deadline_passed")
+	case result == failed && ctx.Err() != nil:
+		r.entry.detector.attemptEnded(newHeldRequest(r, assignment), "caller_gone")
+	case result == failed && detail == errSilent.Error():
+		r.service.RecordFailure(assignment, detail)
+		r.entry.detector.attemptEnded(newHeldRequest(r, assignment), "given_up")
+	case result == failed, result == interrupted:
+		r.service.RecordFailure(assignment, detail)
+		r.entry.detector.connectionLost(ctx, newHeldRequest(r, assignment))
+	case result == notSent && ctx.Err() == nil:
 		r.service.RecordFailure(assignment, detail)
-		if result == failed {
-			r.entry.lostAttempts.Add(1, "deadline_passed")
-		}
-	case result == failed:
-		r.entry.lostAttempts.Add(1, "caller_gone")
 	case result == errored:
 		// An error response may be caused by the request rather than the endpoint, so
 		// it counts less than a failure.
@@ -189,30 +197,6 @@
 	}
 }
 
-// recordCrash records that the endpoint of a failed attempt crashed, unless it is alive or
-// leaving. The connections to an endpoint also end when another rank of its group
-// crashes, and blaming its requests too would hide the one that causes the crashes among
-// all that were in progress.
-func (r *request) recordCrash(ctx context.Context, assignment sched.Assignment) {
-	if r.service.IsLeaving(assignment) {
-		r.entry.lostAttempts.Add(1, "leaving")
-		return
-	}
-	endpoint := assignment.Endpoint()
-	liveness := r.entry.pool.Probe(ctx, endpoint.Address())
-	r.entry.lostAttempts.Add(1, liveness.String())
-	if liveness == conns.Alive {
-		return
-	}
-	crashes := r.entry.crashTracker.recordCrash(r.fingerprint, endpoint.Incarnation(), !r.answered.Load())
-	event.RequestSuspected.Log(r.entry.logger, zap.String("request", r.head.ID), zap.String("endpoint", endpoint.ID()),
-		zap.Uint64("fingerprint", r.fingerprint), zap.Stringer("finding", liveness), zap.Int("crashes", crashes))
-	if liveness == conns.Down {
-		r.entry.parts.recordCrash(r, endpoint)
-		r.entry.peers.announceSuspects()
-	}
-}
-
 // retryLimits returns the current limits of the retry budget.
 func (r *request) retryLimits() retryLimits {
 	ratio, extra, window := r.entry.settings.Load().RetryBudget()
@@ -353,6 +337,9 @@
 	}
 	buffered := &bufferedResponse{status: response.Status, header: platform.ForwardedHeader(response.Header), body: body}
 	if len(body) > limit {
+		if success {
+			r.recordAnswer()
+		}
 		return r.forwardLong(source, buffered)
 	}
 	if !success && response.Status >= http.StatusInternalServerError {
@@ -386,15 +373,19 @@
 	r.status, r.firstByte = start.status, time.Since(r.receivedAt)
 	stream, err := r.exchange.StartKeepAliveStream(start.status, start.header)
 	if err != nil {
-		return finished, nil, "the caller has gone"
+		return abandoned, nil, "the caller has gone"
 	}
+	source := &trackingReader{reader: rest}
 	if _, err = stream.Write(start.body); err == nil {
-		_, err = io.Copy(stream, rest)
+		_, err = io.Copy(stream, source)
 	}
 	if err != nil {
 		r.status, r.reason = 0, "forwarding a long response: "+err.Error()
 		stream.Abort()
-		return finished, nil, r.reason
+		if source.err != nil {
+			return interrupted, nil, r.reason
+		}
+		return abandoned, nil, r.reason
 	}
 	if err := stream.Close(); err != nil {
 		r.reason = err.Error()
@@ -402,6 +393,20 @@
 	return finished, nil, strconv.Itoa(start.status)
 }
 
+// trackingReader remembers the error of its reader, so that it is told from one of a writer.
+type trackingReader struct {
+	reader io.Reader
+	err    error
+}
+
+func (t *trackingReader) Read(buffer []byte) (int, error) {
+	n, err := t.reader.Read(buffer)
+	if err != nil && !errors.Is(err, io.EOF) {
+		t.err = err
+	}
+	return n, err
+}
+
 // streamForwarder forwards the events of a stream, across all attempts.
 type streamForwarder struct {
 	request *request
@@ -433,13 +438,13 @@
 		}
 		if f.stream == nil {
 			if err := f.start(response); err != nil {
-				return finished, nil, "the caller has gone"
+				return abandoned, nil, "the caller has gone"
 			}
 		}
 		if _, err := f.stream.Write(next.Raw); err != nil {
 			r.reason = "the caller has gone"
 			f.stream.Abort()
-			return finished, nil, r.reason
+			return abandoned, nil, r.reason
 		}
 		if next.ID != "" {
 			f.lastEventID = next.ID
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -66,6 +66,7 @@
 	buffers      webio.ByteBudget
 	crashTracker *crashTracker
 	parts        *partGuard
+	detector     *crashDetector
 	log          *requestLog
 	requests     meter.Counter
 	firstByte    meter.Histogram
@@ -107,6 +108,7 @@
 	e.storeSyncer = newStoreSyncer(e)
 	e.peers = newPeers(e)
 	e.parts = &partGuard{entry: e}
+	e.detector = newCrashDetector(e)
 	e.view.Store(e.storeSyncer.state.View())
 	e.requests = metrics.Counter("lentilstand_requests", "Finished requests by result.", "result")
 	e.firstByte = metrics.Histogram("lentilstand_first_byte", "Time until the first byte of a response.", "service")
@@ -165,7 +167,7 @@
 		}
 	}
 	event.ProcessStarted.Log(e.logger, zap.String("listen", settings.ListenAddress()), zap.String("store", settings.StoreAddress()))
-	for _, loop := range []func(context.Context){e.storeSyncer.run, e.storeSyncer.register, e.peers.run, e.maintain} {
+	for _, loop := range []func(context.Context){e.storeSyncer.run, e.storeSyncer.register, e.peers.run, e.detector.run, e.maintain} {
 		e.background.Go(func() { loop(ctx) })
 	}
 	return nil
--- a/internal/edge/parts.go
+++ b/internal/edge/parts.go
@@ -11,7 +11,6 @@
 	"github.com/lentilstand/lentilstand/internal/parts"
 	"github.com/lentilstand/lentilstand/internal/wirepb"
 	"github.com/lentilstand/lentilstand/pkg/blame"
-	"github.com/lentilstand/lentilstand/pkg/table"
 )
 
 // settledEvents is the number of events after which an attempt at a stream counts as
@@ -100,13 +99,14 @@
 
 // recordCrash records that an endpoint crashed while it held the request, unless it had
 // begun to answer it.
-func (g *partGuard) recordCrash(r *request, endpoint *table.Endpoint) {
-	if len(r.parts) == 0 || r.answered.Load() {
+func (g *partGuard) recordCrash(h heldRequest) {
+	if len(h.parts) == 0 || !h.unanswered {
 		return
 	}
-	event.PartSuspected.Log(g.entry.logger, zap.String("request", r.head.ID), zap.String("endpoint", endpoint.ID()),
-		zap.Strings("ids", r.head.SharedParts), zap.String("parts", parts.Format(r.parts...)))
-	g.tracker.RecordCrash(r.parts, endpoint.Incarnation(), time.Now())
+	endpoint := h.assignment.Endpoint()
+	event.PartSuspected.Log(g.entry.logger, zap.String("request", h.id), zap.String("endpoint", endpoint.ID()),
+		zap.Strings("ids", h.partIDs), zap.String("parts", parts.Format(h.parts...)))
+	g.tracker.RecordCrash(h.parts, endpoint.Incarnation(), time.Now())
 	parts.LogChanges(&g.tracker, g.entry.logger)
 }
 
--- a/pkg/sched/endpoint.go
+++ b/pkg/sched/endpoint.go
@@ -12,6 +12,9 @@
 type endpoint struct {
 	spec     *table.Endpoint
 	draining bool
+	// leavingSince is when it became known that the endpoint drains or is no longer
+	// registered, zero if it isn't leaving.
+	leavingSince time.Time
 	// saidLeaving is set once the endpoint itself has said that it leaves, which the store
 	// may not show yet.
 	saidLeaving bool
@@ -64,6 +67,17 @@
 	coldSends []time.Time
 }
 
+// setDraining sets whether the endpoint drains or is no longer registered.
+func (e *endpoint) setDraining(draining bool, now time.Time) {
+	switch {
+	case !draining:
+		e.leavingSince = time.Time{}
+	case e.leavingSince.IsZero():
+		e.leavingSince = now
+	}
+	e.draining = draining
+}
+
 // failureScore returns the exponentially decayed count of failures. Successes reduce it.
 func (e *endpoint) failureScore(now time.Time) float64 {
 	return e.failures * math.Exp2(-now.Sub(e.failuresUpdatedAt).Seconds()/failureHalfLife.Seconds())
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -279,11 +279,13 @@
 		if spec.Draining() && !e.draining {
 			event.EndpointLeaving.Log(s.logger, zap.String("endpoint", spec.ID()), zap.Uint64("revision", revision))
 		}
-		e.spec, e.draining = spec, spec.Draining() || e.saidLeaving
+		e.spec = spec
+		e.setDraining(spec.Draining() || e.saidLeaving, now)
 		updated = append(updated, e)
 	}
 	for _, e := range s.endpoints {
 		if !slices.Contains(updated, e) {
+			e.setDraining(true, now)
 			event.EndpointRemoved.Log(s.logger, zap.String("service", s.name), zap.String("endpoint", e.spec.ID()),
 				zap.Uint64("revision", revision))
 		}
@@ -536,7 +538,8 @@
 	if !e.draining {
 		event.EndpointLeaving.Log(s.logger, zap.String("endpoint", e.spec.ID()), zap.String("source", "its answer"))
 	}
-	e.saidLeaving, e.draining = true, true
+	e.saidLeaving = true
+	e.setDraining(true, s.now())
 	s.updateSubset(s.now())
 }
 
@@ -554,12 +557,12 @@
 	event.EndpointPaused.Log(s.logger, zap.String("endpoint", e.spec.ID()), zap.Duration("pause", pause))
 }
 
-// IsLeaving reports whether the endpoint of an assignment is draining, has said that it
-// leaves, or is no longer registered.
-func (s *Service) IsLeaving(assignment Assignment) bool {
+// LeavingSince returns when it became known that the endpoint of an assignment is draining, has
+// said that it leaves, or is no longer registered, zero if it isn't leaving.
+func (s *Service) LeavingSince(assignment Assignment) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return assignment.endpoint.draining || !slices.Contains(s.endpoints, assignment.endpoint)
+	return assignment.endpoint.leavingSince
 }
 
 // Tick restores ejected endpoints whose failures have decayed, discards a silent agent's
