internal/edge: only executed requests clear their crashes

Callers saw a request that had crashed two replicas accepted as if it were new: each response with a status below 500 cleared its crashes at all entries, also one with which a replica turns a request away, such as 429 without the header that says so.

Cause: the status was taken for proof that the request had run. Replicas add a seal only to what they have executed. Change: only a whole response with a seal clears crashes.

Before: TestOnlyCompletionsClearCrashes fails, the third crash doesn't block. After: it passes.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -171,7 +171,9 @@
 		r.service.RecordSuccess(assignment)
 		now := time.Now()
 		r.entry.runTimes.Record(r.route.Name(), now.Sub(r.receivedAt), now)
-		r.entry.crashTracker.recordSuccess(r.fingerprint)
+		if r.executed {
+			r.entry.crashTracker.recordSuccess(r.fingerprint)
+		}
 	case result == abandoned:
 		r.service.RecordSuccess(assignment)
 		r.entry.detector.attemptEnded(newHeldRequest(r, assignment), "caller_gone")
@@ -289,6 +291,7 @@
 		return failed, nil, err.Error()
 	}
 	defer response.Close()
+	r.executed = reply.Sealed
 	if reply.Leaving {
 		r.service.RecordLeaving(assignment)
 	}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -53,6 +53,8 @@
 	sendCount int
 	// answered reports whether the endpoint of the last attempt has begun to answer.
 	answered atomic.Bool
+	// executed reports whether the last response shows that its endpoint has executed the request.
+	executed bool
 	// reachedEndpoint reports whether an endpoint has not said that it rejects the request.
 	reachedEndpoint bool
 	// mayHaveRun reports whether an endpoint may have started to run the request.
