--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -85,11 +85,17 @@
 	}
 }
 
-// update replaces the shared records with those in the snapshot.
+// update replaces the shared records with those in the snapshot, except those that this entry
+// has written since.
 func (c *crashTracker) update(snapshot store.Snapshot) {
 	records := crash.Records(snapshot)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for fingerprint, record := range c.shared {
+		if record.Revision() > snapshot.Revision() {
+			records[fingerprint] = record
+		}
+	}
 	c.shared = records
 }
 
--- a/internal/entry/crashes_test.go
+++ b/internal/entry/crashes_test.go
@@ -80,3 +80,16 @@
 	require.LessOrEqual(t, len(c.local), maxLocalCrashes)
 	require.Equal(t, crash.Blocked, c.state("deadly"))
 }
+
+// TestOlderSnapshotKeepsWrittenCrashes guards against a blocked request that runs because the
+// answer to an earlier read of the store arrives after the write of its crash.
+func TestOlderSnapshotKeepsWrittenCrashes(t *testing.T) {
+	s := &crashStore{kv: stand.NewKV()}
+	c := newCrashTracker(s, zap.NewNop())
+	older := s.kv.Read([]string{crash.Prefix})
+	c.reportCrash("deadly", true)
+	c.update(older)
+	require.Equal(t, crash.Blocked, c.state("deadly"))
+	c.update(s.kv.Read([]string{crash.Prefix}))
+	require.Equal(t, crash.Blocked, c.state("deadly"))
+}
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -67,6 +67,10 @@
 // Crashes returns the number of endpoint crashes while the request ran.
 func (r Record) Crashes() int { return r.crashes }
 
+// Revision returns the revision of the store at which the record was written, zero if it is not
+// stored.
+func (r Record) Revision() uint64 { return r.revision }
+
 // recordJSON is the JSON form of a Record.
 type recordJSON struct {
 	Crashes int `json:"deaths"`
