internal/entry, internal/agent: count crashes right after an attempt has ended

Cause: the agent's verdict on the engine goes to the stream of the attempt. That is closed when the caller leaves or the time limit passes, so the attempt ends as endpoint_lost and nobody is blamed, neither the chat nor its parts.

Change: the entry remembers unanswered chats for a second (pkg/holds) and blames them if the agent's reports show another epoch of the engine, or that its host refuses connections, which is new in the report. An engine that its agent has said to leave isn't taken for one that crashes. A chat that ran alone isn't blocked at once by such a crash, since the engine may have others by then: three block it.

TestCallersThatLeaveIsolateNoAnsweredChat has the bound for sound chats.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -56,6 +56,8 @@
 	mu      sync.Mutex
 	ready   bool
 	leaving bool
+	// down is set while the endpoint's host refuses connections.
+	down    bool
 	epoch   string
 	model   string
 	hints   hints.Filter
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -173,6 +173,7 @@
 		Epoch:       a.epoch,
 		Version:     a.version.Load(),
 		Hints:       a.hints,
+		Down:        a.down,
 	}}}
 }
 
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -58,6 +60,7 @@
 		if failures >= maxFailedPolls {
 			a.setReady(false)
 		}
+		a.setDown(errors.Is(err, syscall.ECONNREFUSED))
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -137,6 +140,17 @@
 	a.notify()
 }
 
+// setDown records whether the endpoint's host refuses connections.
+func (a *Agent) setDown(down bool) {
+	a.mu.Lock()
+	changed := a.down != down
+	a.down = down
+	a.mu.Unlock()
+	if changed {
+		a.notify()
+	}
+}
+
 // applyCapacity sets the limiter to the capacity of the slow start, or to 0 if
 // the endpoint is not ready.
 func (a *Agent) applyCapacity() {
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -89,6 +89,7 @@
 	client            *http.Client
 	endpoints         []json.RawMessage
 	endpointAddresses map[string]string
+	endpointServers   map[string]*http.Server
 	proxies           map[string]*Proxy
 	agentSettings     map[string]string
 
@@ -112,6 +113,7 @@
 		entries:           make(map[string]*entry.Entry),
 		client:            &http.Client{},
 		endpointAddresses: make(map[string]string),
+		endpointServers:   make(map[string]*http.Server),
 		proxies:           make(map[string]*Proxy),
 		agentSettings:     make(map[string]string),
 	}
@@ -180,6 +182,7 @@
 			return err
 		}
 		b.endpointAddresses[replica.Name] = address
+		b.endpointServers[replica.Name] = b.servers[len(b.servers)-1]
 		if err := b.startAgent(service, replica, address, capacity); err != nil {
 			return err
 		}
@@ -348,6 +351,9 @@
 // bypass its agent.
 func (b *Bench) EndpointAddress(name string) string { return b.endpointAddresses[name] }
 
+// StopEndpoint closes an endpoint's connections, and its host refuses new ones from then on.
+func (b *Bench) StopEndpoint(name string) { _ = b.endpointServers[name].Close() }
+
 // KVAddress returns the address of the key-value service.
 func (b *Bench) KVAddress() string { return b.kvAddr }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -72,10 +72,7 @@
 	stop := context.AfterFunc(ctx, g.stream.Close)
 	defer stop()
 	result := t.run()
-	r.recordCrash(result, g)
-	if result.endpointDied && t.chunks < settledChunks {
-		r.recordPartCrash(g)
-	}
+	r.recordCrash(result, t)
 	if result.done && t.chunks < settledChunks {
 		r.recordPartAnswer()
 	}
@@ -90,17 +87,6 @@
 	return result
 }
 
-// recordCrash reports an endpoint crash during the attempt to the crash tracker.
-// A request that completed while it was the only one on its endpoint is cleared.
-func (r *inflightRequest) recordCrash(result attemptResult, g *grant) {
-	switch {
-	case result.endpointDied:
-		r.entry.crashes.reportCrash(r.fingerprint(), g.exclusive)
-	case result.done && g.exclusive:
-		r.entry.crashes.clear(r.fingerprint())
-	}
-}
-
 // resolveState determines whether an attempt without a response has run. If the
 // agent confirms that the credit was revoked unused, the request has not run and
 // never will, even if its frame is still in transit.
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -15,6 +15,8 @@
 	"github.com/lentilstand/lentilstand/internal/bench"
 	"github.com/lentilstand/lentilstand/internal/stand"
 	"github.com/lentilstand/lentilstand/pkg/config"
+	"github.com/lentilstand/lentilstand/pkg/crash"
+	"github.com/lentilstand/lentilstand/pkg/holds"
 )
 
 // twoEntries returns a bench with two entries and two model endpoints.
@@ -152,3 +154,107 @@
 	require.Eventually(t, func() bool { return chat("entry-2", sharedChat("new", 2)).Status == http.StatusOK }, 2*time.Second, 100*time.Millisecond)
 	require.LessOrEqual(t, crashes(), 1)
 }
+
+// chatAndLeave sends a chat and closes the connection after the caller's patience.
+func chatAndLeave(b *bench.Bench, entry, body string, patience time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, _ = b.Call(ctx, b.Entry(entry).Address(), "b", http.MethodPost, "/v1/chat/completions", body, nil)
+}
+
+// TestCrashCountsThoughItsCallerHasLeft guards against chats that crash endpoint after endpoint,
+// because each of their attempts has ended before the crash.
+func TestCrashCountsThoughItsCallerHasLeft(t *testing.T) {
+	testCases := []struct {
+		name string
+		body func(n int) string
+		// header limits the time of the chat, nil if the caller leaves.
+		header http.Header
+		most   int
+		code   string
+	}{
+		{name: "the same chat", body: func(int) string { return chatOf("poison", 2) }, most: 3, code: "request_crashes_endpoints"},
+		{
+			name: "time limit", body: func(int) string { return chatOf("poison", 2) }, header: http.Header{"Lentilstand-Timeout-Ms": {"50"}},
+			most: 3, code: "request_crashes_endpoints",
+		},
+		{name: "chats that share a message", body: func(n int) string { return sharedChat("poison", n) }, most: 2, code: "prompt_crashes_endpoints"},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			engine := stand.DefaultEngineSpec()
+			engine.ColdCapacity = engine.Capacity
+			b := startBench(t, twoEntries(engine))
+			crashes := func() int {
+				return b.Engine("asistent-1").Counts().Crashes + b.Engine("asistent-2").Counts().Crashes
+			}
+			call := func(entry, body string, header http.Header) bench.Response {
+				answer, err := b.Call(context.Background(), b.Entry(entry).Address(), "b", http.MethodPost, "/v1/chat/completions", body, header)
+				require.NoError(t, err)
+				return answer
+			}
+			for n, entry := range []string{"entry-1", "entry-2"} {
+				require.Equal(t, http.StatusOK, call(entry, sharedChat("sound", n), nil).Status)
+			}
+			// The entries have seen answers for long enough to block a message at the first crash.
+			time.Sleep(5200 * time.Millisecond)
+			for _, name := range []string{"asistent-1", "asistent-2"} {
+				b.Engine(name).SetFaults(stand.EngineFaults{CrashOn: "poison", CrashDelayMS: 150})
+			}
+			for n := range 8 {
+				entry := []string{"entry-1", "entry-2"}[n%2]
+				if tc.header != nil {
+					call(entry, tc.body(n), tc.header)
+				} else {
+					chatAndLeave(b, entry, tc.body(n), 50*time.Millisecond)
+				}
+				time.Sleep(800 * time.Millisecond)
+			}
+			require.LessOrEqual(t, crashes(), tc.most)
+			last := call("entry-1", tc.body(9), nil)
+			var failure wireError
+			require.NoError(t, json.Unmarshal(last.Body, &failure))
+			require.Equal(t, tc.code, failure.Error.Code)
+			require.Equal(t, http.StatusOK, call("entry-2", sharedChat("sound", 5), nil).Status)
+		})
+	}
+}
+
+// crashRecords returns the number of requests that are known to have been at crashes.
+func crashRecords(b *bench.Bench) int {
+	return len(crash.Records(b.KVStore().Read([]string{crash.Prefix})))
+}
+
+// TestCallersThatLeaveIsolateNoAnsweredChat guards against chats that are blamed for a crash
+// although the endpoint answered them before their callers left, and checks that one that waited
+// for its answer is blamed if the endpoint's host refuses connections right after.
+func TestCallersThatLeaveIsolateNoAnsweredChat(t *testing.T) {
+	testCases := []struct {
+		name    string
+		prefill time.Duration
+		// pause is the time from the end of the chat to the crash.
+		pause   time.Duration
+		records int
+	}{
+		{name: "answered"},
+		{name: "unanswered", prefill: time.Second, records: 1},
+		{name: "unanswered, crash after the window", prefill: time.Second, pause: holds.Window},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			engine := stand.DefaultEngineSpec()
+			engine.ColdCapacity, engine.Prefill, engine.Step = engine.Capacity, tc.prefill, 10*time.Millisecond
+			b := startBench(t, twoEntries(engine))
+			chatAndLeave(b, "entry-1", chatOf("sound", 200), 400*time.Millisecond)
+			time.Sleep(tc.pause)
+			for _, name := range []string{"asistent-1", "asistent-2"} {
+				b.StopEndpoint(name)
+			}
+			if tc.records > 0 {
+				require.Eventually(t, func() bool { return crashRecords(b) == tc.records }, 3*time.Second, 10*time.Millisecond)
+			}
+			time.Sleep(time.Second)
+			require.Equal(t, tc.records, crashRecords(b))
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/lentilstand/lentilstand/pkg/audit"
 	"github.com/lentilstand/lentilstand/pkg/claim"
 	"github.com/lentilstand/lentilstand/pkg/drain"
+	"github.com/lentilstand/lentilstand/pkg/holds"
 	"github.com/lentilstand/lentilstand/pkg/retry"
 	"github.com/lentilstand/lentilstand/platform"
 )
@@ -58,6 +59,10 @@
 	stop     drain.Stop
 	runTimes drain.RunTimes
 	active   atomic.Int64
+	// held has the requests that endpoints may hold though their attempts have ended.
+	held holds.Table[heldRequest]
+	// lostAttempts counts the attempts that ended without the whole response.
+	lostAttempts meter.Counter
 
 	callers     *webio.Server
 	peers       *link.Server
@@ -87,10 +92,12 @@
 	e.crashes = newCrashTracker(e.kv, logger)
 	e.parker = newStreamParker(settings.StreamBufferBudget(), logger)
 	e.follower = newFollower(voter, e.kv, e.crashes, &e.dialer, logger)
-	e.agents = newAgentPool(settings.Name(), &e.dialer, logger)
+	e.agents = newAgentPool(settings.Name(), &e.dialer, e.recordLaterCrash, logger)
 	e.hosts = newHostWatcher(settings.HostListAddress())
 	e.coordinator = newCoordinator(e.follower, e.kv, settings.Name(), logger)
 	e.registrar = newRegistrar(e, voter)
+	e.lostAttempts = metrics.Counter("lentilstand_lost_attempts",
+		"Attempts that ended without the whole response, by what was learned about the endpoint or that nothing was.", "finding")
 	e.requests = metrics.Counter("lentilstand_requests", "Requests by how they ended.", "result")
 	e.firstBytes = metrics.Histogram("lentilstand_first_byte", "Time until a caller's first byte.", "service")
 	metrics.Gauge("lentilstand_queue_requests", "Requests that wait, by service.", "service", e.queues.reportRequests)
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -38,12 +39,15 @@
 	dialer *link.Dialer
 	logger *zap.Logger
 
+	// crashed is called with the incarnation of an endpoint that has crashed.
+	crashed func(incarnation string)
+
 	mu    sync.Mutex
 	conns map[string]*agentConn
 }
 
-func newAgentPool(name string, dialer *link.Dialer, logger *zap.Logger) *agentPool {
-	return &agentPool{name: name, dialer: dialer, logger: logger, conns: make(map[string]*agentConn)}
+func newAgentPool(name string, dialer *link.Dialer, crashed func(incarnation string), logger *zap.Logger) *agentPool {
+	return &agentPool{name: name, dialer: dialer, logger: logger, crashed: crashed, conns: make(map[string]*agentConn)}
 }
 
 // run opens and closes sessions as the configuration changes, until ctx is done.
@@ -156,8 +160,12 @@
 	mu      sync.Mutex
 	session *link.Session
 	report  *wirepb.Report
-	pending int
-	version uint64
+	// lastEpoch is the last epoch that was reported, and lastDown whether the last report said
+	// that the endpoint is down; they outlast the session.
+	lastEpoch string
+	lastDown  bool
+	pending   int
+	version   uint64
 }
 
 // run keeps the session open until ctx is done.
@@ -255,13 +263,35 @@
 
 func (c *agentConn) setReport(session *link.Session, report *wirepb.Report) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	crashed := ""
 	c.session = session
 	if !report.GetSame() {
+		// An agent that has just started doesn't know the epoch yet.
+		epoch := cmp.Or(report.GetEpoch(), c.lastEpoch)
+		// One that has said that its endpoint leaves expects it to end.
+		if !c.report.GetLeaving() && (report.GetDown() || epoch != c.lastEpoch) {
+			crashed = incarnationOf(c.endpoint.Name(), c.lastEpoch)
+		}
 		c.report = report
+		c.lastEpoch, c.lastDown = epoch, report.GetDown()
 	}
 	// Requests sent since the previous report count only until this one.
 	c.pending = 0
+	c.mu.Unlock()
+	if crashed != "" {
+		c.pool.crashed(crashed)
+	}
+}
+
+// incarnationOf returns an identifier of an endpoint's process.
+func incarnationOf(endpoint, epoch string) string { return endpoint + "@" + epoch }
+
+// hasCrashed reports whether the endpoint's process of an epoch has ended, by the agent's last
+// report.
+func (c *agentConn) hasCrashed(epoch string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.report.GetLeaving() && (c.lastDown || c.lastEpoch != epoch)
 }
 
 func (c *agentConn) clearSession() {
@@ -287,7 +317,7 @@
 func (c *agentConn) epoch() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.report.GetEpoch()
+	return c.lastEpoch
 }
 
 // load returns the endpoint's load from its last report plus the requests that
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -81,19 +81,6 @@
 	}
 }
 
-// recordPartCrash records that the endpoint of a grant crashed before it had begun to
-// answer, and tells the other entries.
-func (r *inflightRequest) recordPartCrash(g *grant) {
-	if len(r.parts) == 0 {
-		return
-	}
-	event.PartSuspected.Log(r.entry.logger, zap.String("request", r.id), zap.String("endpoint", g.endpoint.Name()),
-		zap.String("parts", parts.Format(r.parts...)))
-	r.entry.follower.parts.RecordCrash(r.parts, g.endpoint.Name()+"@"+g.epoch, time.Now())
-	parts.LogChanges(&r.entry.follower.parts, r.entry.logger)
-	r.entry.follower.pollPeersNow()
-}
-
 // probeRank returns this entry's position among those that may probe a part.
 func (f *follower) probeRank(part blame.Part) int {
 	var voters []string
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -65,6 +65,9 @@
 	PauseMS int64 `json:"pause_ms,omitempty"`
 	// CrashOn makes the engine crash on prompts that contain this text.
 	CrashOn string `json:"crash_on,omitempty"`
+	// CrashDelayMS is the time from the arrival of such a prompt to the crash. The request may
+	// have been cancelled by then.
+	CrashDelayMS int64 `json:"crash_delay_ms,omitempty"`
 	// Leaving makes the engine report that it is draining.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -306,6 +309,12 @@
 		req.MaxTokens = defaultMaxTokens
 	}
 	priority, _ := strconv.Atoi(r.Header.Get(HeaderPriority))
+	if e.isDeadly(req) {
+		e.mu.Lock()
+		delay := time.Duration(e.faults.CrashDelayMS) * time.Millisecond
+		e.mu.Unlock()
+		time.Sleep(delay)
+	}
 	seq, crashed := e.admit(req, r.Header.Get(HeaderRequest), priority)
 	if crashed {
 		panic(http.ErrAbortHandler)
@@ -324,6 +333,13 @@
 	e.writeCompletion(w, r, req, seq)
 }
 
+// isDeadly reports whether the engine crashes on the prompt of a request.
+func (e *Engine) isDeadly(req chatRequest) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.CrashOn != "" && strings.Contains(req.prompt(), e.faults.CrashOn)
+}
+
 // admit adds a request to the batch. It returns nil if the engine is down, and
 // reports whether the engine crashed on the prompt. A batch larger than the
 // current capacity crashes the engine.
