internal/edge: a caller who leaves a long response is no failure of its endpoint

Since a long response whose connection the entry closed because the caller had left counted as broken off by the endpoint, so that endpoints would have got no more requests. Change: it counts as abandoned. TestCallersThatLeaveAreNoFailures fails without the change.

internal/conns: Liveness.String is gone again, findings have their own names.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -241,18 +241,6 @@
 	Down
 )
 
-// String returns the liveness in lower case.
-func (l Liveness) String() string {
-	switch l {
-	case Alive:
-		return "alive"
-	case Down:
-		return "down"
-	default:
-		return "unknown"
-	}
-}
-
 // probeTimeout limits the time of a probe. A host responds within milliseconds, with a
 // reset if nothing listens on the port.
 const probeTimeout = 100 * time.Millisecond
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -174,7 +174,7 @@
 		if r.executed {
 			r.entry.crashTracker.recordSuccess(r.fingerprint)
 		}
-	case result == abandoned:
+	case result == abandoned, result == interrupted && ctx.Err() != nil:
 		r.service.RecordSuccess(assignment)
 		r.entry.detector.attemptEnded(newHeldRequest(r, assignment), "caller_gone")
 	case result == failed && detail == errPartBlocked.Error():
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -125,9 +125,9 @@
 	return s != nil && len(s.crashes) >= blockThreshold && time.Since(s.lastCrash()) < suspectTTL
 }
 
-// recordCrash records that an endpoint incarnation crashed while it held a request.
-// Unanswered is set if it hadn't begun to answer.
-// It returns the number of crashes that are known of the request.
+// recordCrash records that an endpoint incarnation crashed while it held a request, and
+// returns the number of crashes that are known of the request. Unanswered is set if the
+// endpoint hadn't begun to answer.
 func (c *crashTracker) recordCrash(fingerprint uint64, incarnation string, unanswered bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/edge/guard_test.go
+++ b/internal/edge/guard_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/prefs"
 	"github.com/lentilstand/lentilstand/pkg/sched"
 	"github.com/lentilstand/lentilstand/pkg/table"
@@ -20,8 +22,8 @@
 func hostOf(endpoint int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(endpoint + 1)}) }
 
 // newModelService returns a model service with a number of endpoints and slots in each.
-func newModelService(endpoints, slots int) *sched.Service {
-	s := sched.New("model", "here", zap.NewNop())
+func newModelService(endpoints, slots int, logger *zap.Logger) *sched.Service {
+	s := sched.New("model", "here", logger)
 	var specs []*table.Endpoint
 	for i := range endpoints {
 		specs = append(specs, table.NewEndpoint(table.EndpointSpec{
@@ -67,7 +69,7 @@
 	for _, tc := range testCases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			s := newModelService(1+tc.others, 4)
+			s := newModelService(1+tc.others, 4, zap.NewNop())
 			assignment, err := s.Acquire(context.Background(), sched.Request{})
 			require.NoError(t, err)
 			sendReports := func() {
@@ -106,6 +108,28 @@
 	}
 }
 
+// TestCallersThatLeaveAreNoFailures guards against endpoints that get no more requests because
+// callers left while they received long responses.
+func TestCallersThatLeaveAreNoFailures(t *testing.T) {
+	entry := newEntry(t)
+	core, logs := observer.New(zap.InfoLevel)
+	s := newModelService(1, 4, zap.New(core))
+	gone, leave := context.WithCancel(context.Background())
+	leave()
+	for _, ctx := range []context.Context{gone, context.Background()} {
+		for range 20 {
+			assignment, err := s.Acquire(context.Background(), sched.Request{})
+			require.NoError(t, err)
+			r := &request{entry: entry, service: s, route: table.NewRoute(table.RouteSpec{Name: "r"})}
+			r.answered.Store(true)
+			r.recordResult(ctx, assignment, interrupted, "")
+			s.Release(assignment)
+		}
+		shunned := logs.FilterField(zap.Int("event", event.EndpointShunned.Number())).Len()
+		require.Equal(t, ctx.Err() == nil, shunned > 0, "only an endpoint that breaks off has failed")
+	}
+}
+
 // TestClientRetriesAreRecognized checks that a caller with less time left than others on
 // its route counts as one that comes back, and one that sends no timeout doesn't: requests
 // that come back may wait for longer and get fewer slots after an outage.
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/dgram"
 	"github.com/lentilstand/lentilstand/internal/wirepb"
@@ -14,7 +15,7 @@
 // only to agents that do not report its fingerprint, also after an agent has joined.
 func TestAgentListIsSentOnlyWhereUnknown(t *testing.T) {
 	const endpoints = 4
-	s := newModelService(endpoints, 8)
+	s := newModelService(endpoints, 8, zap.NewNop())
 	var agents []netip.AddrPort
 	for i := range endpoints {
 		agents = append(agents, netip.AddrPortFrom(hostOf(i), 7900))
