internal/edge: block a request again at its first crash after a block

Callers would have seen a service down three more times every two minutes: after a block of two minutes the record was dropped, and a request that still came had to crash three endpoints again.

Change: a block lasts two minutes after the third crash and twice as long after each further one, up to an hour; the record is kept for as long again. Sound requests: the first block is as long as before, and a completion clears it.

Before: TestRequestThatComesAfterItsBlockIsBlockedAgain fails, the fourth crash doesn't block. After: three crashes in 25 minutes after the third.

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -20,8 +20,11 @@
 	// while they hold a request before it is blocked. A crash alone doesn't tell which of
 	// the endpoint's requests caused it.
 	blockThreshold = 3
-	// suspectTTL is how long a request stays suspect after the last crash.
-	suspectTTL = 2 * time.Minute
+	// suspectTTL is how long a request stays suspect, or blocked if it has blockThreshold
+	// crashes, after the last crash. The time doubles with each further crash, and the record
+	// is kept for as long again, up to maxSuspectTTL.
+	suspectTTL    = 2 * time.Minute
+	maxSuspectTTL = time.Hour
 	// maxSuspects limits the suspects that are stored; the least suspicious ones are
 	// evicted first.
 	maxSuspects = 512
@@ -73,9 +76,21 @@
 	return last
 }
 
+// blockTime returns how long the request is blocked after its last crash, zero if it isn't. One
+// that comes again after its block mostly crashes endpoints again.
+func (s *suspect) blockTime() time.Duration {
+	if len(s.crashes) < blockThreshold {
+		return 0
+	}
+	return min(maxSuspectTTL, suspectTTL<<(len(s.crashes)-blockThreshold))
+}
+
+// ttl returns how long the record is kept after the last crash.
+func (s *suspect) ttl() time.Duration { return max(suspectTTL, min(maxSuspectTTL, 2*s.blockTime())) }
+
 // isExpired reports whether nothing about the suspect matters any more.
 func (s *suspect) isExpired(now time.Time) bool {
-	return now.Sub(s.lastCrash()) >= suspectTTL && now.Sub(s.completedAt) >= suspectTTL
+	return now.Sub(s.lastCrash()) >= s.ttl() && now.Sub(s.completedAt) >= suspectTTL
 }
 
 // compare orders suspects from the least to the most suspicious one. The number of crashes
@@ -122,7 +137,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.suspects[fingerprint]
-	return s != nil && len(s.crashes) >= blockThreshold && time.Since(s.lastCrash()) < suspectTTL
+	return s != nil && time.Since(s.lastCrash()) < s.blockTime()
 }
 
 // recordCrash records that an endpoint incarnation crashed while it held a request, and
@@ -148,9 +163,16 @@
 	if s == nil {
 		s = c.insert(fingerprint, now)
 	}
-	if _, known := s.crashes[incarnation]; known || len(s.crashes) >= maxSuspectCrashes {
+	if _, known := s.crashes[incarnation]; known {
 		return
 	}
+	if len(s.crashes) >= maxSuspectCrashes {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(s.crashes)), func(a, b uint64) int { return s.crashes[a].Compare(s.crashes[b]) })
+		if !at.After(s.crashes[oldest]) {
+			return
+		}
+		delete(s.crashes, oldest)
+	}
 	s.crashes[incarnation] = at
 	s.unanswered = s.unanswered || unanswered
 	s.changedAt = now
@@ -262,7 +284,7 @@
 	since := func(ageMS uint32) time.Time { return now.Add(-time.Duration(ageMS) * time.Millisecond) }
 	for _, report := range reported {
 		for _, crash := range report.GetCrashes() {
-			if at := since(crash.GetAgeMs()); now.Sub(at) < suspectTTL {
+			if at := since(crash.GetAgeMs()); now.Sub(at) < maxSuspectTTL {
 				c.add(report.GetFingerprint(), crash.GetIncarnation(), report.GetUnanswered(), at, now)
 			}
 		}
--- a/internal/edge/crashes_test.go
+++ b/internal/edge/crashes_test.go
@@ -96,3 +96,39 @@
 	remote.recordCrash(fp, "i-3@1", true)
 	require.False(t, remote.isBlocked(fp))
 }
+
+// TestRequestThatComesAfterItsBlockIsBlockedAgain guards against three further crashes each time
+// that the block of a request has ended, for as long as it comes.
+func TestRequestThatComesAfterItsBlockIsBlockedAgain(t *testing.T) {
+	local, remote := newCrashTracker(zap.NewNop()), newCrashTracker(zap.NewNop())
+	// elapse makes all records older.
+	elapse := func(elapsed time.Duration) {
+		for _, c := range []*crashTracker{local, remote} {
+			for _, s := range c.suspects {
+				s.changedAt = s.changedAt.Add(-elapsed)
+				for incarnation, at := range s.crashes {
+					s.crashes[incarnation] = at.Add(-elapsed)
+				}
+			}
+			c.export(true)
+		}
+	}
+	fp := requestFingerprint("POST", "/x", "rowers", []byte("poison"))
+	crashes, late := 0, 0
+	for elapsed := time.Duration(0); elapsed < 25*time.Minute; elapsed += 5 * time.Second {
+		if !local.isBlocked(fp) {
+			crashes++
+			local.recordCrash(fp, fmt.Sprintf("i-%d@1", crashes), true)
+			remote.merge(local.export(false))
+			if crashes > blockThreshold {
+				late++
+				require.True(t, remote.isBlocked(fp), "the next crash blocks it")
+			}
+		}
+		elapse(5 * time.Second)
+	}
+	require.LessOrEqual(t, late, 3, "BUDGET")
+	require.LessOrEqual(t, len(local.suspects[fp].crashes), maxSuspectCrashes)
+	elapse(maxSuspectTTL)
+	require.Empty(t, local.suspects, "the record isn't kept for ever")
+}
