--- a/internal/edge/abandoned_test.go
+++ b/internal/edge/abandoned_test.go
@@ -32,26 +32,17 @@
 }
 
 // abandon sends a request, and closes the connection once it has received a number of bytes of the
-// body or the caller's patience has passed.
-func (s *site) abandon(index int, path, body string, header map[string]string, bytes int, patience time.Duration) {
-	ctx, cancel := context.WithTimeout(s.t.Context(), patience)
+// body or the timeout has passed.
+func (s *site) abandon(index int, path, body string, header map[string]string, byteCount int, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(s.t.Context(), timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.settings[index].ListenAddress()+path, strings.NewReader(body))
-	require.NoError(s.t, err)
-	request.Host = "club.example"
-	request.Header.Set("Authorization", "Bearer key-1")
-	request.Header.Set("Lentilstand-Request-Id", "request-2")
-	request.Header.Set("Lentilstand-Deadline-Ms", "3000")
-	for name, value := range header {
-		request.Header.Set(name, value)
-	}
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	received, err := client.Do(request)
+	received, err := client.Do(s.newRequest(ctx, index, http.MethodPost, path, body, header))
 	if err != nil {
 		return
 	}
 	defer received.Body.Close()
-	_, _ = io.ReadFull(received.Body, make([]byte, bytes))
+	_, _ = io.ReadFull(received.Body, make([]byte, byteCount))
 }
 
 // startDeadlySite starts two entries before replicas that crash on the part dead01.
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -161,9 +161,9 @@
 	err    error
 }
 
-// call sends a request to an entry.
-func (s *site) call(index int, method, path, body string, header map[string]string) response {
-	request, err := http.NewRequest(method, "http://"+s.settings[index].ListenAddress()+path, strings.NewReader(body))
+// newRequest returns a request to an entry.
+func (s *site) newRequest(ctx context.Context, index int, method, path, body string, header map[string]string) *http.Request {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+s.settings[index].ListenAddress()+path, strings.NewReader(body))
 	require.NoError(s.t, err)
 	request.Host = "club.example"
 	request.Header.Set("Authorization", "Bearer key-1")
@@ -172,6 +172,12 @@
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
+	return request
+}
+
+// call sends a request to an entry.
+func (s *site) call(index int, method, path, body string, header map[string]string) response {
+	request := s.newRequest(s.t.Context(), index, method, path, body, header)
 	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableCompression: true}}
 	if s.keepsConnection {
 		s.t.Cleanup(client.CloseIdleConnections)
