--- a/internal/soak/deadly_test.go
+++ b/internal/soak/deadly_test.go
@@ -87,7 +87,8 @@
 		case 0:
 			calls.Go(func() { d.call(address, "deadly", patience) })
 		case 1:
-			calls.Go(func() { d.call(address, fmt.Sprint("sound ", random.IntN(1000)), patience) })
+			body := fmt.Sprint("sound ", random.IntN(1000))
+			calls.Go(func() { d.call(address, body, patience) })
 		default:
 			// The same sound request again and again, with callers that leave as often.
 			calls.Go(func() { d.call(address, "sound", patience) })
