--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -75,6 +75,8 @@
 	EndpointLimited   = register(4010, "endpoint_limited", infoLevel, "An endpoint takes no more than `per_second` requests a second from all entries; this entry sends it one each `interval`.")
 	EndpointUnlimited = register(4011, "endpoint_unlimited", infoLevel, "An endpoint no longer limits the rate of requests.")
 	EndpointIgnored   = register(4012, "endpoint_ignored", infoLevel, "An endpoint in the store is not used; `reason` tells why.")
+	RankExcluded      = register(4020, "rank_excluded", warnLevel, "A rank of a group is slow and gets no requests while others have free slots; `relative_pace` is its pace relative to the slowest rank that is used.")
+	RankReadmitted    = register(4021, "rank_readmitted", infoLevel, "A rank that was excluded gets requests again, one more at a time.")
 	EndpointLeaving   = register(4004, "endpoint_leaving", infoLevel, "The endpoint is leaving; it gets no new requests.")
 )
 
--- a/pkg/sched/endpoint.go
+++ b/pkg/sched/endpoint.go
@@ -52,6 +52,8 @@
 	passInterval time.Duration
 	// pace is how many times slower the endpoint is than its peers, at least 1.
 	pace float64
+	// exclusion is whether the endpoint, a rank, is excluded because it is slow.
+	exclusion exclusion
 	// failures is the failure score as of failuresUpdatedAt.
 	failures          float64
 	failuresUpdatedAt time.Time
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -41,8 +41,8 @@
 	ejectThreshold, restoreThreshold = 2.5, 1.0
 	// agentTimeout is how long after an agent's last report the agent counts as silent.
 	// The endpoint then gets no requests while other agents of the service report, and
-	// only the load and the pace in its last report are still used. Agents report several
-	// times per second.
+	// only the load in its last report is still used. Agents report several times per
+	// second.
 	agentTimeout = 500 * time.Millisecond
 	// stalledAgentTimeout is the same for an endpoint that has sent nothing for
 	// silenceTimeout, of package edge, which makes a fault more likely. In that time
@@ -178,6 +178,8 @@
 	// passTarget is the mean interval between passes up to which streams are on time, zero
 	// if the service has none.
 	passTarget time.Duration
+	// anySlow is set while a rank is excluded because it is slow, or was readmitted lately.
+	anySlow bool
 	// hasServed is set once an endpoint has answered since the entry started.
 	hasServed bool
 }
@@ -337,7 +339,12 @@
 func (s *Service) PassInterval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, longest := s.now(), time.Duration(0)
+	return s.longestPass(s.now())
+}
+
+// longestPass is PassInterval for a caller that holds s.mu.
+func (s *Service) longestPass(now time.Time) time.Duration {
+	longest := time.Duration(0)
 	for _, e := range s.endpoints {
 		if e.hasFreshReport(now) {
 			longest = max(longest, e.passInterval)
@@ -376,7 +383,7 @@
 			Age:         age,
 			Others:      s.othersAt(e, now),
 			Failures:    e.failureScore(now),
-			Pace:        e.pace,
+			Pace:        e.currentPace(now),
 			Local:       e.spec.DataCentre() == s.dataCentre,
 			// A host that hangs also stops its agent, and requests sent to it would run
 			// only after their callers have given up.
@@ -386,6 +393,7 @@
 			Tried:       tried[e.spec.ID()],
 		}
 	}
+	s.limitSlowRanks(loads, now)
 	return loads
 }
 
@@ -581,6 +589,10 @@
 			e.notAccepting = false
 		}
 	}
+	if s.anySlow {
+		// A rank is readmitted in time also while the entry has no requests.
+		s.loads(nil, now)
+	}
 	s.updateSubset(now)
 	s.assignWaiting(now)
 }
