--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -177,7 +177,7 @@
 	case result == abandoned, result == interrupted && ctx.Err() != nil:
 		r.service.RecordSuccess(assignment)
 		r.entry.detector.attemptEnded(newHeldRequest(r, assignment), "caller_gone")
-	case result == failed && detail == errPartBlocked.Error():
+	case result == failed && (detail == errPartBlocked.Error() || detail == errSlowRank.Error()):
 		r.entry.detector.attemptEnded(newHeldRequest(r, assignment), "given_up")
 	case result == failed && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		r.service.RecordFailure(assignment, detail)
@@ -251,7 +251,7 @@
 	ctx, progress, stop := r.guardAttempt(ctx, assignment)
 	defer stop()
 	result, response, detail := r.sendOnce(ctx, assignment, forwarder, progress)
-	if cause := context.Cause(ctx); result == failed && (errors.Is(cause, errSilent) || errors.Is(cause, errPartBlocked)) {
+	if cause := context.Cause(ctx); result == failed && (movesAttempt(cause) || errors.Is(cause, errPartBlocked)) {
 		detail = cause.Error()
 	}
 	return result, response, detail
--- a/internal/edge/guard_test.go
+++ b/internal/edge/guard_test.go
@@ -150,3 +150,46 @@
 		require.Equal(t, tc.want, entry.isClientRetry(&request{route: route, head: tc.head}), tc.name)
 	}
 }
+
+// TestStreamsLeaveARankThatSlowsItsGroup guards against passes that stay long until the last
+// stream on a slow rank has ended, and against streams that are moved while passes are short
+// enough, or that can't be continued elsewhere.
+func TestStreamsLeaveARankThatSlowsItsGroup(t *testing.T) {
+	entry := newEntry(t)
+	testCases := []struct {
+		name   string
+		pace   float64
+		pass   time.Duration
+		resume bool
+		moved  bool
+	}{
+		{name: "slow rank, long passes", pace: 6, pass: 250 * time.Millisecond, resume: true, moved: true},
+		{name: "slow rank, short passes", pace: 6, pass: 60 * time.Millisecond, resume: true},
+		{name: "long passes of another cause", pace: 1, pass: 250 * time.Millisecond, resume: true},
+		{name: "stream that can't be resumed", pace: 6, pass: 250 * time.Millisecond},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newModelService(3, 4, zap.NewNop())
+			s.SetGapTarget(120 * time.Millisecond)
+			assignment, err := s.Acquire(context.Background(), sched.Request{})
+			require.NoError(t, err)
+			for i := range 3 {
+				report := sched.AgentReport{Accepting: true, Pace: 1, PassInterval: tc.pass}
+				if hostOf(i) == assignment.Endpoint().Address().Addr() {
+					report.Pace, report.Running = tc.pace, 1
+				}
+				s.UpdateFromAgent(hostOf(i), report)
+			}
+			s.Tick()
+			require.True(t, s.HasCapacity(sched.Request{}))
+			r := &request{
+				entry: entry, service: s, view: entry.view.Load(), tried: map[string]bool{assignment.Endpoint().ID(): true},
+				route: table.NewRoute(table.RouteSpec{Name: "r", Semantics: table.Stream, Resumable: tc.resume, MaxAttempts: 2}),
+			}
+			cause := r.moveCause(assignment, 0)
+			require.Equal(t, tc.moved, cause != nil)
+			require.Equal(t, tc.moved, movesAttempt(cause))
+		})
+	}
+}
--- a/pkg/sched/exclude.go
+++ b/pkg/sched/exclude.go
@@ -195,3 +195,12 @@
 	}
 	return e.pace
 }
+
+// SlowsGroup reports whether the endpoint of an assignment is a rank that is excluded because it
+// is slow, while the passes of its group are too long for streams to be on time. Each stream
+// that remains there keeps the passes of all ranks long.
+func (s *Service) SlowsGroup(assignment Assignment) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return assignment.endpoint.exclusion.excluded && s.passTarget > 0 && s.longestPass(s.now()) > s.passTarget
+}
