--- a/pkg/pick/pick.go
+++ b/pkg/pick/pick.go
@@ -38,6 +38,9 @@
 	Age time.Duration
 	// Others is the number of other entries that send requests to the endpoint.
 	Others float64
+	// RunTime is the usual time of a request at an endpoint whose load is known only from its
+	// responses, zero if it is unknown or there are other reports.
+	RunTime time.Duration
 	// Expected is the estimated number of requests that other entries have sent to the
 	// endpoint since the report. EstimateArrivals sets it.
 	Expected float64
@@ -63,7 +66,7 @@
 // InFlight estimates the number of requests at the endpoint: those in the last report,
 // corrected by the entry's own requests that have started and completed since.
 func (l Load) InFlight() int {
-	if l.Age < 0 || l.Age > maxReportAge {
+	if !l.hasReport() {
 		return l.Own
 	}
 	return max(l.Own, l.Reported+l.Own-l.OwnAtReport)
@@ -75,20 +78,41 @@
 // those of its endpoints that have room, with extra requests beyond their slots. Without
 // the estimate, all entries that see the same report of one free slot would send a
 // request there.
+//
+// Reports of endpoints with a RunTime may be old. Requests that began more than RunTime ago
+// have ended, and the other entries' requests are no more than one over the mean of those
+// in the reports, so that an entry with most of the requests doesn't expect as many from each.
 func EstimateArrivals(loads []Load, extra int, perSecond float64) {
-	available := 0
+	available, reported, ofOthers := 0, 0, 0
 	for i := range loads {
-		if load := &loads[i]; !load.Unavailable && !load.Ejected && !load.isFull(load.InFlight(), extra) {
+		load := &loads[i]
+		if !load.Unavailable && !load.Ejected && !load.isFull(load.InFlight(), extra) {
 			available++
 		}
+		if load.hasReport() {
+			reported++
+			ofOthers += max(0, load.Reported-load.OwnAtReport)
+		}
+	}
+	if available == 0 {
+		return
 	}
 	for i := range loads {
-		if load := &loads[i]; load.Age >= 0 && load.Age <= maxReportAge && available > 0 {
+		load := &loads[i]
+		switch {
+		case !load.hasReport():
+		case load.RunTime > 0:
+			expected := load.Others * perSecond * min(load.Age, load.RunTime).Seconds() / float64(available)
+			load.Expected = min(expected, 1+float64(ofOthers)/float64(reported))
+		default:
 			load.Expected = load.Others * perSecond * load.Age.Seconds() / float64(available)
 		}
 	}
 }
 
+// hasReport reports whether there is a report that is still used.
+func (l *Load) hasReport() bool { return l.Age >= 0 && l.Age <= maxReportAge }
+
 // Verdict is the result of Choose.
 type Verdict int
 
--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -154,6 +154,24 @@
 	require.Zero(t, at)
 }
 
+// TestOldReportsDoNotFillEndpoints guards against an estimate that counts requests which have
+// ended since the report. An endpoint whose load is known from responses only, which arrive
+// seldom, would look full to an entry that has no requests there.
+func TestOldReportsDoNotFillEndpoints(t *testing.T) {
+	load := fresh(6, 0)
+	load.Age, load.Others, load.RunTime = time.Second, 11, 50*time.Millisecond
+	loads := []pick.Load{load, load}
+	pick.EstimateArrivals(loads, 4, 3)
+	require.InDelta(t, 11*3*0.05/2, loads[0].Expected, 0.01)
+	pick.EstimateArrivals(loads, 4, 100)
+	require.InDelta(t, 1, loads[0].Expected, 0.01, "no other entry has requests")
+	loads[1].Reported = 5
+	pick.EstimateArrivals(loads, 4, 100)
+	require.InDelta(t, 3.5, loads[0].Expected, 0.01)
+	_, verdict := pick.Choose(loads, 4, 1)
+	require.Equal(t, pick.Chosen, verdict)
+}
+
 // TestIdleEndpointIsNotOverloaded has 34 entries see the same reports, by which one
 // endpoint of 63 is idle, until the next reports arrive 100 ms later. Of 235 requests
 // per second that is 24 requests, and too many for the idle endpoint alone.
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -382,6 +382,7 @@
 			OwnAtReport: e.ownAtReport,
 			Age:         age,
 			Others:      s.othersAt(e, now),
+			RunTime:     s.runTimeOf(e),
 			Failures:    e.failureScore(now),
 			Pace:        e.currentPace(now),
 			Local:       e.spec.DataCentre() == s.dataCentre,
@@ -397,6 +398,15 @@
 	return loads
 }
 
+// runTimeOf returns the usual time of a request at an endpoint whose load is known from its
+// responses only, and otherwise zero. The caller must hold s.mu.
+func (s *Service) runTimeOf(e *endpoint) time.Duration {
+	if e.hasAgent || s.isModelService {
+		return 0
+	}
+	return s.meanRunTime
+}
+
 // choose returns the endpoint to assign a request to now. The caller must hold s.mu.
 func (s *Service) choose(req Request, now time.Time) (*endpoint, pick.Verdict) {
 	extra := plainExtra
