--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -112,7 +112,7 @@
 	SwitchPlanned   = register(7004, "switch_planned", infoLevel, "A new expert map is worth its copies: `skew` is the highest load of a rank over the mean, `expected` the same under the new map.")
 	SwitchArmed     = register(7005, "switch_armed", debugLevel, "All ranks are armed to switch to an expert map at the start of the same pass.")
 	SwitchDone      = register(7006, "switch_done", infoLevel, "All ranks use the new expert map.")
-	SwitchAbandoned = register(7007, "switch_abandoned", warnLevel, "A switch of expert maps was abandoned; all ranks keep their current map.")
+	SwitchAbandoned = register(7007, "switch_abandoned", warnLevel, "A switch of expert maps was abandoned; all ranks keep their current map. `switch` is the version of its map, `version` that of the last order to prepare, which a fence makes a newer one.")
 	HoldResolved    = register(7008, "hold_resolved", warnLevel, "A hold or an armed expert map that belongs to no known switch was resolved.")
 	RankUnreachable = register(7009, "rank_unreachable", warnLevel, "The replica on this host does not respond to its agent.")
 	RankReachable   = register(7010, "rank_reachable", infoLevel, "The replica on this host responds to its agent.")
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -355,7 +355,7 @@
 	case group.Done:
 		event.SwitchDone.Log(a.logger, zap.Uint64("version", version), zap.Uint64("pass", l.views[0].Pass), phaseTimes(l.machine.Times()))
 	case group.Abandoned:
-		event.SwitchAbandoned.Log(a.logger, zap.Uint64("version", version), zap.Stringer("phase", phase), phaseTimes(l.machine.Times()))
+		event.SwitchAbandoned.Log(a.logger, zap.Uint64("version", version), zap.Uint64("switch", l.machine.SwitchVersion()), zap.Stringer("phase", phase), phaseTimes(l.machine.Times()))
 	}
 	if after := l.machine.Phase(); phase == group.Idle && after != group.Idle {
 		event.HoldResolved.Log(a.logger, zap.Uint64("version", l.machine.Version()), zap.Stringer("phase", after))
--- a/pkg/group/frozen_test.go
+++ b/pkg/group/frozen_test.go
@@ -59,6 +59,17 @@
 	f.runPass()
 }
 
+// stepUntil takes steps until the condition is true.
+func (f *frozenHostRun) stepUntil(t *testing.T, leader *group.Leader, condition func() bool) {
+	for range 100 {
+		if condition() {
+			return
+		}
+		f.step(leader)
+	}
+	require.Fail(t, "the leader doesn't get there")
+}
+
 func (f *frozenHostRun) runPass() {
 	next := f.pass + 1
 	for _, r := range f.ranks {
@@ -115,23 +126,21 @@
 	f := newFrozenHostRun()
 	leader := f.newLeader(0)
 	leader.SetPassTime(frozenHostTick / 4)
-	for !leader.CanBegin(f.views, f.now) {
-		f.step(leader)
-	}
+	f.stepUntil(t, leader, func() bool { return leader.CanBegin(f.views, f.now) })
 	leader.Begin(f.views, f.now)
 	hold := &f.ranks[1]
-	for !hold.held {
-		f.step(leader)
-	}
+	f.stepUntil(t, leader, func() bool {
+		// Four passes a step until the hold, so that the pass of the switch is far ahead.
+		for range 3 {
+			f.runPass()
+		}
+		return hold.held
+	})
 	pass := hold.heldPass
-	for leader.Phase() != group.Settling {
-		f.step(leader)
-	}
+	f.stepUntil(t, leader, func() bool { return leader.Phase() == group.Settling })
 	require.Less(t, f.pass, pass)
 	hold.held, hold.heldPass = true, pass
-	for leader.Phase() != group.Idle {
-		f.step(leader)
-	}
+	f.stepUntil(t, leader, func() bool { return leader.Phase() == group.Idle })
 	require.Less(t, f.held, 300*time.Millisecond)
 	require.NotZero(t, f.ranks[0].expertMap, "the switch is completed")
 }
--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -102,9 +102,15 @@
 	defaultLeadTime = 280 * time.Millisecond
 	lossyLeadTime   = 700 * time.Millisecond
 	leadTimePerRank = 2500 * time.Microsecond
-	// minLeadPasses and maxLeadPasses limit the lead in passes.
-	minLeadPasses = 3
-	maxLeadPasses = 14
+	// minLeadPasses and maxLeadPasses limit the lead in passes. longLeadPasses is the
+	// minimum if a pass takes at least the lead time: the pass under way may end at any
+	// moment, and the one after it is long enough.
+	minLeadPasses  = 3
+	longLeadPasses = 2
+	maxLeadPasses  = 14
+	// minPassWindow is the shortest span over which the duration of passes is measured
+	// while ranks prepare a map. Agents report every 100 ms.
+	minPassWindow = 150 * time.Millisecond
 	// defaultPassTime is the assumed duration of a pass until one has been measured.
 	defaultPassTime = 50 * time.Millisecond
 )
@@ -148,6 +154,11 @@
 	startedAt time.Time
 	// passTime is the measured duration of a pass, zero if unknown.
 	passTime time.Duration
+	// beginPass is the newest pass when the switch began.
+	beginPass uint64
+	// dueAt is when the switch was last known to be certain: all ranks were armed and
+	// none held the pass.
+	dueAt time.Time
 	// missingRank is the unreachable rank that the switch goes on without, -1 if none.
 	// Its rank is known to be armed if missingArmed is set, and known not to be
 	// otherwise.
@@ -212,6 +223,10 @@
 	return l.version
 }
 
+// SwitchVersion returns the version of the new map of the current or last switch, also
+// while that is fenced under another version.
+func (l *Leader) SwitchVersion() uint64 { return l.version }
+
 // IsFencing reports whether the ranks are to prepare the map in use again, under a
 // newer version.
 func (l *Leader) IsFencing() bool { return l.phase == Fencing }
@@ -223,6 +238,7 @@
 	l.armOrdered = make(map[int]bool)
 	l.holderRank = (l.ownRank + 1) % l.size
 	l.version = l.nextVersion(highestVersion(views))
+	l.beginPass = newestPass(views)
 	l.enterPhase(Preparing, now)
 	return l.version
 }
@@ -374,22 +390,43 @@
 		}
 		return orders, Pending
 	}
-	l.switchPass = newestPass(views) + l.leadPasses()
+	newest := newestPass(views)
+	l.switchPass = newest + l.leadPasses(newest-min(newest, l.beginPass), now.Sub(l.phaseStart))
 	l.enterPhase(Holding, now)
 	return l.hold(views, now)
 }
 
-// leadPasses returns how many passes ahead a switch is scheduled.
-func (l *Leader) leadPasses() uint64 {
-	leadTime, pass := defaultLeadTime, l.passTime
+// leadPasses returns how many passes ahead a switch is scheduled. While the ranks prepared
+// the map, some passes have begun within a span.
+func (l *Leader) leadPasses(passes uint64, span time.Duration) uint64 {
+	leadTime, pass := defaultLeadTime, l.currentPassTime(passes, span)
 	if l.lossy {
 		leadTime = lossyLeadTime
 	}
-	if pass <= 0 {
-		pass = defaultPassTime
-	}
 	leadTime += time.Duration(l.size) * leadTimePerRank
-	return uint64(min(maxLeadPasses, max(minLeadPasses, (leadTime+pass-1)/pass)))
+	least := time.Duration(minLeadPasses)
+	if pass >= leadTime {
+		least = longLeadPasses
+	}
+	return uint64(min(maxLeadPasses, max(least, (leadTime+pass-1)/pass)))
+}
+
+// currentPassTime returns the duration of a pass, given how many have begun within a span
+// that ends now. The measured average lags behind passes that have just become long, as
+// when a rank becomes slow, and is unknown when the group has just opened.
+func (l *Leader) currentPassTime(passes uint64, span time.Duration) time.Duration {
+	average := l.passTime
+	if average <= 0 {
+		average = defaultPassTime
+	}
+	if span < minPassWindow {
+		return average
+	}
+	recent := span / time.Duration(max(1, passes))
+	if passes >= 2 {
+		return recent
+	}
+	return max(average, recent)
 }
 
 // hold orders one rank to hold the pass of the switch, before anything is armed.
@@ -489,13 +526,16 @@
 	return l.settle(views, now)
 }
 
-// settle waits until all ranks are reported to use the map, for no longer than
-// settleTimeout. A duplicate of the Hold may have been carried out after the Release.
+// settle waits until all ranks are reported to use the map. While all are armed, the
+// switch is certain and needs no more orders, however long it takes until its pass
+// begins. Otherwise settle waits for no longer than settleTimeout. A duplicate of the Hold
+// may have been carried out after the Release.
 func (l *Leader) settle(views []View, now time.Time) ([]Order, Outcome) {
-	settled := true
+	settled, due := true, true
 	var orders []Order
 	for rank, view := range views {
 		settled = settled && view.Map == l.version
+		due = due && l.isArmed(rank, view)
 		if view.Held && view.HeldPass == l.switchPass {
 			orders = append(orders, l.newOrder(rank, Release, 0, l.switchPass))
 		}
@@ -504,9 +544,11 @@
 		l.enterPhase(Idle, now)
 		return nil, Done
 	}
-	if now.Sub(l.phaseStart) > settleTimeout {
-		// A group without requests runs no passes. resolve finds later what is still
-		// held or armed.
+	if due {
+		l.dueAt = now
+	}
+	if now.Sub(l.phaseStart) > settleTimeout && now.Sub(l.dueAt) > settleTimeout {
+		// resolve finds later what is still held or armed.
 		l.enterPhase(Idle, now)
 		return nil, Pending
 	}
--- a/pkg/group/resolve.go
+++ b/pkg/group/resolve.go
@@ -205,14 +205,19 @@
 	if !held && (armed == 0 || allArmedAlike(views)) {
 		return nil, Pending
 	}
+	if !held {
+		pass = armedPass(views)
+	}
+	if pass <= newestPass(views) {
+		// The reports are from before and after the pass began. It isn't held any more,
+		// and all ranks use one map in it.
+		return nil, Pending
+	}
 	l.epoch, l.missingRank, l.armOrdered = views[0].Epoch, -1, nil
 	l.version = version
 	if armed == 0 {
 		return l.beginFence(views, now)
 	}
-	if !held {
-		pass = armedPass(views)
-	}
 	l.switchPass = pass
 	for _, view := range views {
 		matches := view.Armed == version && view.ArmedPass == pass
@@ -224,10 +229,6 @@
 		l.enterPhase(Arming, now)
 		return l.arm(views, now)
 	}
-	if pass <= newestPass(views) {
-		// The reports are from before and after the pass began.
-		return nil, Pending
-	}
 	// No rank holds the pass. It is held at an armed rank, if possible at one whose
 	// pivot is armed as well, as armStage would have left it.
 	for rank, view := range views {
