--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -33,6 +33,9 @@
 	// reportInterval is how often the rank's state is read and reported. Reading it is
 	// free of charge on the rank's own host.
 	reportInterval = 100 * time.Millisecond
+	// openingInterval is how often the state is read while the group isn't open. Requests
+	// wait for the group then, and so does the first switch of the expert map.
+	openingInterval = 25 * time.Millisecond
 	// subscriptionTTL is how long an entry receives reports after it last subscribed.
 	subscriptionTTL = 3500 * time.Millisecond
 	// unreachableTimeout is how long the rank may fail to answer before it is reported
@@ -145,21 +148,48 @@
 }
 
 func (a *Agent) run(ctx context.Context) {
-	ticker := time.NewTicker(reportInterval)
+	ticker, opening := time.NewTicker(reportInterval), time.NewTicker(openingInterval)
 	defer ticker.Stop()
+	defer opening.Stop()
 	for tick := 0; ; tick++ {
-		select {
-		case <-ctx.Done():
+		if !a.waitTick(ctx, ticker.C, opening.C) {
 			return
-		case <-ticker.C:
 		}
-		a.pollRank(ctx)
 		a.sendLoad()
 		a.sendReport(ctx, a.countActionAt(tick))
 		a.leader.tick(time.Now())
 	}
 }
 
+// waitTick waits until a report is due, and reads the rank's state for it. A report is due
+// at each tick of reports, and as soon as the group has opened. It returns false if ctx has
+// ended.
+func (a *Agent) waitTick(ctx context.Context, reports, opening <-chan time.Time) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-reports:
+			a.pollRank(ctx)
+			return true
+		case <-opening:
+			if !a.isOpening() {
+				continue
+			}
+			if a.pollRank(ctx); !a.isOpening() {
+				return true
+			}
+		}
+	}
+}
+
+// isOpening reports whether the rank is reachable and its group isn't open.
+func (a *Agent) isOpening() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Size > 0 && !a.state.Open && !a.unreachable
+}
+
 // countAction is what an agent does with the expert counts in one period.
 type countAction int
 
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -298,6 +298,7 @@
 	rank := int(report.GetRank())
 	l.addresses[rank] = from
 	now := time.Now()
+	before := l.views[rank]
 	l.views[rank] = group.View{
 		Known: true, ReportedAt: now, Epoch: report.GetEpoch(), Open: report.GetOpen(), Pass: report.GetPass(),
 		Map: report.GetExpertMap(), Prepared: report.GetPrepared(), Armed: report.GetArmed(), ArmedPass: report.GetArmedPass(),
@@ -310,7 +311,8 @@
 		l.experts[rank] = nil
 	}
 	l.addCounts(report.GetCounts(), shape, now)
-	if l.machine.Phase() != group.Idle {
+	opened := report.GetOpen() && (!before.Open || before.Epoch != report.GetEpoch())
+	if l.machine.Phase() != group.Idle || opened {
 		l.step(now)
 	}
 }
