--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -98,8 +98,11 @@
 	// Holding and arming take two rounds of reports, and a group that reaches the held
 	// pass earlier has to wait. lossyLeadTime is used instead while orders get lost.
 	// leadTimePerRank is added for each rank, since the leader's link and processor
-	// handle the ranks one after the other.
+	// handle the ranks one after the other. Once a switch has been armed, the time that
+	// recent ones took is used instead of defaultLeadTime, and at least minLeadTime: one
+	// round of reports.
 	defaultLeadTime = 280 * time.Millisecond
+	minLeadTime     = 100 * time.Millisecond
 	lossyLeadTime   = 700 * time.Millisecond
 	leadTimePerRank = 2500 * time.Microsecond
 	// minLeadPasses and maxLeadPasses limit the lead in passes. longLeadPasses is the
@@ -149,6 +152,9 @@
 	// lossy is set after a switch that timed out, was fenced or took long to arm, as
 	// when orders get lost. It is cleared after a switch that was armed quickly.
 	lossy bool
+	// armTimes has the times that recent switches took from being scheduled until all
+	// ranks were armed.
+	armTimes armTimes
 	// startedAt is when the leader began to receive reports, zero before the first
 	// Step and after Reset.
 	startedAt time.Time
@@ -399,7 +405,12 @@
 // leadPasses returns how many passes ahead a switch is scheduled. While the ranks prepared
 // the map, some passes have begun within a span.
 func (l *Leader) leadPasses(passes uint64, span time.Duration) uint64 {
-	leadTime, pass := defaultLeadTime, l.currentPassTime(passes, span)
+	pass := l.currentPassTime(passes, span)
+	if leadTime := l.armTimes.leadTime(); leadTime > 0 && !l.lossy {
+		// The pass under way may end at any moment.
+		return uint64(min(maxLeadPasses, 1+(leadTime+pass-1)/pass))
+	}
+	leadTime := defaultLeadTime
 	if l.lossy {
 		leadTime = lossyLeadTime
 	}
@@ -411,6 +422,40 @@
 	return uint64(min(maxLeadPasses, max(least, (leadTime+pass-1)/pass)))
 }
 
+// armTimes is a moving average of the times that switches take from being scheduled until all
+// ranks are armed, and of their deviation from it. The zero value has none.
+type armTimes struct {
+	mean, deviation time.Duration
+}
+
+// Weights of armTimes. They are those of the retransmission timeout of TCP (RFC 6298), but for
+// the deviation, which is multiplied by 2 instead of 4: a group that reaches the held pass early
+// only waits for the rest of the arming.
+const (
+	armMeanDivisor      = 8
+	armDeviationDivisor = 4
+	armDeviations       = 2
+)
+
+// add adds the time that a switch took.
+func (a *armTimes) add(span time.Duration) {
+	if a.mean == 0 {
+		a.mean, a.deviation = span, span/2
+		return
+	}
+	difference := span - a.mean
+	a.mean += difference / armMeanDivisor
+	a.deviation += (max(difference, -difference) - a.deviation) / armDeviationDivisor
+}
+
+// leadTime returns how far ahead a switch is scheduled, zero if none has been armed yet.
+func (a *armTimes) leadTime() time.Duration {
+	if a.mean == 0 {
+		return 0
+	}
+	return max(minLeadTime, a.mean+armDeviations*a.deviation)
+}
+
 // currentPassTime returns the duration of a pass, given how many have begun within a span
 // that ends now. The measured average lags behind passes that have just become long, as
 // when a rank becomes slow, and is unknown when the group has just opened.
@@ -475,6 +520,9 @@
 	if len(due) == 0 {
 		l.lossy = now.Sub(l.phaseStart) > armTimeout*3/8
 		l.enterPhase(Releasing, now)
+		if l.armOrdered != nil {
+			l.armTimes.add(l.times[Holding] + l.times[Arming])
+		}
 		return l.release(views, now)
 	}
 	if now.Sub(l.phaseStart) > armTimeout && l.canFence() {
--- a/pkg/group/long_pass_test.go
+++ b/pkg/group/long_pass_test.go
@@ -146,3 +146,24 @@
 		})
 	}
 }
+
+// TestLeadFollowsRecentSwitches guards against switches that are scheduled much further ahead
+// than arming takes: the group runs on the old map until then.
+func TestLeadFollowsRecentSwitches(t *testing.T) {
+	r := newLongPassRun(63, 60*time.Millisecond)
+	r.leader.SetPassTime(r.passTime)
+	var settling []time.Duration
+	for range 3 {
+		for !r.leader.CanBegin(r.views, r.now) {
+			r.step()
+		}
+		r.leader.Begin(r.views, r.now)
+		for r.outcome = group.Pending; r.outcome == group.Pending; {
+			r.step()
+		}
+		require.Equal(t, group.Done, r.outcome)
+		settling = append(settling, r.leader.Times()[group.Settling])
+	}
+	require.Greater(t, settling[0], 350*time.Millisecond, "the first lead covers 63 ranks that are slow to be armed")
+	require.Less(t, settling[2], 250*time.Millisecond)
+}
