--- /dev/null
+++ b/pkg/demand/demand_test.go
@@ -0,0 +1,122 @@
+package demand_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/lentilstand/lentilstand/pkg/demand"
+)
+
+func TestDemandsOfAnotherShapeAreRefused(t *testing.T) {
+	testCases := []struct {
+		name          string
+		sets, experts int
+		weights       []byte
+		valid         bool
+	}{
+		{name: "valid", sets: 2, experts: 2, weights: []byte{255, 0, 3, 255}, valid: true},
+		{name: "a weight too few", sets: 2, experts: 2, weights: []byte{255, 0, 3}},
+		{name: "no sets", experts: 2},
+		{name: "a negative number of sets and experts", sets: -2, experts: -1, weights: []byte{1, 1}},
+		{name: "a product that overflows", sets: 1 << 32, experts: 1 << 32},
+		{name: "a set without weights", sets: 2, experts: 2, weights: []byte{255, 0, 0, 0}},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := demand.New(tc.sets, tc.experts, tc.weights)
+			require.Equal(t, tc.valid, err == nil, "%v", err)
+		})
+	}
+}
+
+// TestSharesSurviveEncoding guards against a stored demand that differs from the counts by
+// more than its rounding, a half of 1/255 of the highest share for each expert.
+func TestSharesSurviveEncoding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		loads := rapid.SliceOfN(rapid.SliceOfN(rapid.Float64Range(0, 1000), 8, 8), 1, 4).Draw(t, "loads")
+		for set := range loads {
+			loads[set][0] = 1000
+		}
+		d := demand.FromLoads(loads)
+		require.NotNil(t, d)
+		decoded, err := demand.New(d.Sets(), d.Experts(), d.Weights())
+		require.NoError(t, err)
+		require.Zero(t, demand.Distance(d, decoded))
+		for set, merged := range demand.NewCounter(len(loads), 8, time.Second).LoadsWith(decoded, 1000) {
+			for expert, load := range loads[set] {
+				require.InDelta(t, load/1000, merged[expert]/merged[0], 0.002)
+			}
+		}
+	})
+}
+
+func TestDistance(t *testing.T) {
+	newDemand := func(weights ...byte) *demand.Demand {
+		d, err := demand.New(2, len(weights)/2, weights)
+		require.NoError(t, err)
+		return d
+	}
+	base := newDemand(255, 0, 100, 100)
+	require.Zero(t, demand.Distance(base, newDemand(100, 0, 255, 255)), "only shares count")
+	require.InDelta(t, 1.0, demand.Distance(base, newDemand(0, 255, 100, 100)), 1e-9, "one of two sets has changed")
+	require.InDelta(t, 2.0, demand.Distance(base, nil), 1e-9)
+	require.InDelta(t, 2.0, demand.Distance(base, newDemand(1, 1, 1, 1, 1, 1)), 1e-9)
+	require.Nil(t, demand.FromLoads([][]float64{{1, 2}, {0, 0}}), "a set that no request has used")
+}
+
+// TestOwnCountsOutweighADemand guards against a hint that is believed longer than the counts
+// of a second.
+func TestOwnCountsOutweighADemand(t *testing.T) {
+	hint, err := demand.New(1, 2, []byte{255, 0})
+	require.NoError(t, err)
+	const halfLife = 350 * time.Millisecond
+	counter, now := demand.NewCounter(1, 2, halfLife), time.Unix(1000, 0)
+	start := now
+	for now.Sub(start) < time.Second {
+		now = now.Add(100 * time.Millisecond)
+		counter.Add([]uint32{0, 20000}, now)
+	}
+	loads := counter.LoadsWith(hint, 20000*demand.Decay(now.Sub(start), halfLife))[0]
+	require.Less(t, loads[0], loads[1]/20)
+	counter.Add([]uint32{1}, now)
+	require.InDelta(t, counter.Choices(), counter.Loads()[0][1], 1e-6, "counts of another shape are ignored")
+}
+
+// TestWritesAreRare guards against calls to the store, which are charged, for a demand that
+// it has already, more often than each 4 s, or while it fails.
+func TestWritesAreRare(t *testing.T) {
+	demands := make([]*demand.Demand, 3)
+	for i := range demands {
+		weights := make([]byte, 3)
+		weights[i] = 255
+		var err error
+		demands[i], err = demand.New(1, 3, weights)
+		require.NoError(t, err)
+	}
+	var writer demand.Writer
+	now := time.Unix(1000, 0)
+	step := func(span time.Duration, stored *demand.Demand) *demand.Demand {
+		now = now.Add(span)
+		return writer.Next(stored, time.Time{}, now)
+	}
+	require.Nil(t, step(time.Second, nil), "nothing is offered")
+	writer.Offer(demands[0])
+	require.Equal(t, demands[0], step(time.Second, nil))
+	require.Nil(t, step(5*time.Second, demands[0]))
+	writer.Offer(demands[0])
+	require.Nil(t, step(5*time.Second, demands[0]), "the store has it")
+	writer.Offer(demands[1])
+	require.Equal(t, demands[1], step(time.Second, demands[0]))
+	writer.Offer(demands[2])
+	require.Nil(t, step(3*time.Second, demands[0]))
+	require.Equal(t, demands[2], step(time.Second, demands[0]), "the last one offered is written after 4 s")
+	writer.Offer(demands[1])
+	require.Nil(t, step(5*time.Second, demands[2]), "another process has just written")
+	require.Equal(t, demands[1], step(4*time.Second, demands[2]))
+	writer.Offer(demands[2])
+	require.Nil(t, writer.Next(demands[1], now, now.Add(900*time.Millisecond)), "the store has just failed")
+	require.Nil(t, step(9*time.Second, demands[1]), "the demand was dropped")
+}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -1,5 +1,5 @@
 // Package mirror keeps a process's local copy of the routing state in the store: the
-// routing table, the endpoints, the evacuations and the members. It is a state machine
+// routing table, the endpoints, the evacuations, the members and the demands for experts. It is a state machine
 // without I/O of its own.
 //
 // Its input comes from full reads of the store, from a watch on the store, and from
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"github.com/lentilstand/lentilstand/pkg/demand"
 	"github.com/lentilstand/lentilstand/pkg/store"
 	"github.com/lentilstand/lentilstand/pkg/table"
 )
@@ -32,8 +33,8 @@
 // an older state can't add the key again.
 const tombstoneRetention = 60 * time.Second
 
-// Decoder decodes a pair into a *table.Table, a *table.Endpoint, a table.Evacuation or a
-// table.Member.
+// Decoder decodes a pair into a *table.Table, a *table.Endpoint, a table.Evacuation, a
+// table.Member or a demand.Stored.
 type Decoder func(pair store.Pair) (any, error)
 
 // View is an immutable snapshot of the routing state.
@@ -42,6 +43,7 @@
 	endpoints map[string][]*table.Endpoint
 	evacuated map[string]bool
 	members   []table.Member
+	demands   map[string]*demand.Demand
 	ignored   map[string]string
 	revision  uint64
 	confirmed time.Time
@@ -69,6 +71,9 @@
 // Members returns the members, sorted by key. The caller must not modify the slice.
 func (v *View) Members() []table.Member { return v.members }
 
+// Demand returns the stored demand for the experts of a service, nil if there is none.
+func (v *View) Demand(service string) *demand.Demand { return v.demands[service] }
+
 // Ignored returns why endpoints in the store aren't used, by ID. The caller must not modify
 // the map.
 func (v *View) Ignored() map[string]string { return v.ignored }
@@ -401,6 +406,7 @@
 		table:     s.table,
 		endpoints: make(map[string][]*table.Endpoint),
 		evacuated: make(map[string]bool),
+		demands:   make(map[string]*demand.Demand),
 		revision:  s.revision,
 		confirmed: confirmed,
 	}
@@ -417,6 +423,8 @@
 			view.evacuated[value.DataCentre()] = true
 		case table.Member:
 			view.members = append(view.members, value)
+		case demand.Stored:
+			view.demands[value.Service()] = value.Demand()
 		}
 	}
 	s.current = view
