--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -62,6 +62,7 @@
 
 	storeSyncer  *storeSyncer
 	peers        *peers
+	demands      *demands
 	budget       budget
 	buffers      webio.ByteBudget
 	crashTracker *crashTracker
@@ -107,6 +108,7 @@
 	e.settings.Store(&settings)
 	e.storeSyncer = newStoreSyncer(e)
 	e.peers = newPeers(e)
+	e.demands = newDemands(e, metrics)
 	e.parts = &partGuard{entry: e}
 	e.detector = newCrashDetector(e)
 	e.view.Store(e.storeSyncer.state.View())
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -356,6 +356,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if cause != nil {
+		s.entry.demands.storeFailed(time.Now())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if reachable := cause == nil; reachable != s.reachable {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -160,6 +160,7 @@
 	var subscribed time.Time
 	for ctx.Err() == nil {
 		p.sendHellos()
+		p.entry.demands.flush(ctx)
 		now := time.Now()
 		renew := now.Sub(subscribed) >= subscribePeriod
 		if p.subscribe(renew) && renew {
@@ -427,7 +428,10 @@
 	switch body := message.GetBody().(type) {
 	case *wirepb.Datagram_Hello:
 		p.receiveHello(from, body.Hello)
+	case *wirepb.Datagram_Demand:
+		p.entry.demands.receive(from, body.Demand)
 	case *wirepb.Datagram_Load:
+		p.entry.demands.answer(from, body.Load)
 		for _, s := range p.entry.allServices() {
 			if s.UpdateFromAgent(from.Addr(), decodeLoad(body.Load)) {
 				return
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -94,6 +94,8 @@
 	EvacuationBegun  = register(5013, "evacuation_begun", infoLevel, "No more requests are sent to the endpoints of a data centre.")
 	EvacuationEnded  = register(5014, "evacuation_ended", infoLevel, "The endpoints of a data centre get requests again.")
 	WatchBehind      = register(5015, "watch_behind", warnLevel, "A peer has read a newer revision of the store than the watch has delivered.")
+	DemandStored     = register(5016, "demand_stored", debugLevel, "The demand for the experts of a service was written to the store, for its leader to plan by when the group opens again.")
+	DemandUnstored   = register(5017, "demand_unstored", infoLevel, "The demand for the experts of a service could not be written to the store; the next one follows.")
 	VersionDropped   = register(5009, "version_dropped", infoLevel, "A staged version was rejected.")
 )
 
@@ -109,7 +111,7 @@
 	GroupLed        = register(7001, "group_led", infoLevel, "This agent is the leader of its group of ranks.")
 	GroupYielded    = register(7002, "group_yielded", infoLevel, "Another agent is the leader of the group.")
 	GroupFormed     = register(7003, "group_formed", infoLevel, "The group has formed in a new epoch, with the expert map with which all ranks start.")
-	SwitchPlanned   = register(7004, "switch_planned", infoLevel, "A new expert map is worth its copies: `skew` is the highest load of a rank over the mean, `expected` the same under the new map.")
+	SwitchPlanned   = register(7004, "switch_planned", infoLevel, "A new expert map is worth its copies: `skew` is the highest load of a rank over the mean, `expected` the same under the new map. With `stored_demand`, the demand that was stored before the group opened was used along with the counts.")
 	SwitchArmed     = register(7005, "switch_armed", debugLevel, "All ranks are armed to switch to an expert map at the start of the same pass.")
 	SwitchDone      = register(7006, "switch_done", infoLevel, "All ranks use the new expert map.")
 	SwitchAbandoned = register(7007, "switch_abandoned", warnLevel, "A switch of expert maps was abandoned; all ranks keep their current map. `switch` is the version of its map, `version` that of the last order to prepare, which a fence makes a newer one.")
@@ -118,6 +120,8 @@
 	RankReachable   = register(7010, "rank_reachable", infoLevel, "The replica on this host responds to its agent.")
 	RankOrdered     = register(7012, "rank_ordered", infoLevel, "The leader sent an order directly to a rank whose agent is silent.")
 	OrderUnanswered = register(7011, "order_unanswered", infoLevel, "An order to the replica on this host got no response; it may still be carried out.")
+	DemandRefused   = register(7014, "demand_refused", warnLevel, "A demand for experts cannot be decoded or has other sets or experts than the configuration; it is ignored.")
+	DemandLearned   = register(7015, "demand_learned", debugLevel, "The agent was sent the stored demand for experts.")
 	OrderRefused    = register(7013, "order_refused", infoLevel, "The replica on this host refused an order that no longer fits its state.")
 )
 
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -352,8 +352,9 @@
 
 // sendLoad sends the rank's load to the subscribed entries.
 func (a *Agent) sendLoad() {
-	a.mu.Lock()
 	now := time.Now()
+	demandKnown := a.leader.hint.isKnown(now)
+	a.mu.Lock()
 	var entries []netip.AddrPort
 	for entry, subscribedAt := range a.subscribers {
 		if now.Sub(subscribedAt) > subscriptionTTL {
@@ -373,6 +374,7 @@
 		AgentsKnown: a.agentsKnown,
 		Entries:     uint32(len(entries)),
 		PassMs:      uint32(a.passes.interval(now).Milliseconds()),
+		DemandKnown: demandKnown || state.Size <= 1,
 	}
 	a.mu.Unlock()
 	a.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Load{Load: load}}, entries...)
@@ -383,6 +385,8 @@
 	switch body := message.GetBody().(type) {
 	case *wirepb.Datagram_Subscribe:
 		a.subscribe(from, body.Subscribe)
+	case *wirepb.Datagram_Demand:
+		a.handleDemand(from, body.Demand)
 	case *wirepb.Datagram_Lead:
 		a.leader.handleLead(from, body.Lead)
 	case *wirepb.Datagram_RankReport:
--- a/internal/rank/direct.go
+++ b/internal/rank/direct.go
@@ -60,7 +60,7 @@
 	if err != nil || !l.leading || state.Group != own.Group || state.Rank >= len(l.views) {
 		return
 	}
-	l.applyReport(agent, newReport(state), shape)
+	l.applyReport(agent, newReport(state), shape, time.Now())
 }
 
 // isReporting reports whether an agent has sent its rank's state recently. The caller holds
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -15,6 +15,7 @@
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/meter"
 	"github.com/lentilstand/lentilstand/internal/wirepb"
+	"github.com/lentilstand/lentilstand/pkg/demand"
 	"github.com/lentilstand/lentilstand/pkg/group"
 )
 
@@ -82,11 +83,13 @@
 	slowdowns []float64
 	// knownMaps has the map that each rank's agent knows completely.
 	knownMaps []knownMap
-	// loads has the decayed counts of choices by set and expert, as of countedAt.
-	// choices is their sum.
-	loads     [][]float64
-	countedAt time.Time
-	choices   float64
+	// counts has the choices of experts by which maps are planned, and recent those of a
+	// longer time, which are stored. Both are nil before the first counts.
+	counts, recent *demand.Counter
+	hint           demandHint
+	sender         demandSender
+	// openedAt is when the group was last seen to open with its initial map.
+	openedAt  time.Time
 	plannedAt time.Time
 	// plan is the map that the ranks are ordered to prepare, by set and rank.
 	plan [][][]int
@@ -211,6 +214,7 @@
 		otherAgents(agents, a.socket.Address())...)
 	l.pollSilentAgents(agents, now)
 	l.step(now)
+	l.sendDemand(now)
 }
 
 // detectSuspension resets the leader if the process was suspended. The monotonic
@@ -259,7 +263,8 @@
 	l.rankStarts = make(map[int]int64)
 	l.addresses = make(map[int]netip.AddrPort)
 	l.directRanks = make(map[netip.AddrPort]*directRank)
-	l.loads, l.choices = nil, 0
+	l.counts, l.recent = nil, nil
+	l.sender = demandSender{checkedAt: time.Now()}
 	l.machine = group.NewLeader(size, rank, func(above uint64) uint64 {
 		return (above/versionStride+1)*versionStride + rand.Uint64N(versionStride)
 	})
@@ -290,14 +295,13 @@
 	if rank == state.Rank {
 		l.measurePassTime(report.GetPass(), time.Now())
 	}
-	l.applyReport(from, report, shape)
+	l.applyReport(from, report, shape, time.Now())
 }
 
 // applyReport updates the view of a rank from a report. The caller holds the lock.
-func (l *leader) applyReport(from netip.AddrPort, report *wirepb.RankReport, shape mapShape) {
+func (l *leader) applyReport(from netip.AddrPort, report *wirepb.RankReport, shape mapShape, now time.Time) {
 	rank := int(report.GetRank())
 	l.addresses[rank] = from
-	now := time.Now()
 	before := l.views[rank]
 	l.views[rank] = group.View{
 		Known: true, ReportedAt: now, Epoch: report.GetEpoch(), Open: report.GetOpen(), Pass: report.GetPass(),
@@ -312,39 +316,25 @@
 	}
 	l.addCounts(report.GetCounts(), shape, now)
 	opened := report.GetOpen() && (!before.Open || before.Epoch != report.GetEpoch())
+	if opened && report.GetExpertMap() == 0 {
+		l.openedAt = now
+	}
 	if l.machine.Phase() != group.Idle || opened {
 		l.step(now)
 	}
 }
 
-// decay returns the factor by which a weight decreases in a span.
-func decay(span, halfLife time.Duration) float64 {
-	return math.Exp2(-span.Seconds() / halfLife.Seconds())
-}
-
-// addCounts adds the choices of experts that a rank has counted to the loads. The
-// caller holds the lock.
+// addCounts adds the choices of experts that a rank has counted. The caller holds the lock.
 func (l *leader) addCounts(counts []uint32, shape mapShape, now time.Time) {
 	if len(counts) != shape.sets*shape.experts || len(counts) == 0 {
 		return
 	}
-	if len(l.loads) != shape.sets {
-		l.loads = make([][]float64, shape.sets)
-		for set := range l.loads {
-			l.loads[set] = make([]float64, shape.experts)
-		}
-		l.countedAt = now
-	}
-	factor := decay(now.Sub(l.countedAt), countHalfLife)
-	l.countedAt = now
-	l.choices *= factor
-	for set, loads := range l.loads {
-		for expert := range loads {
-			added := float64(counts[set*shape.experts+expert])
-			loads[expert] = loads[expert]*factor + added
-			l.choices += added
-		}
+	if !l.counts.Fits(shape.sets, shape.experts) {
+		l.counts = demand.NewCounter(shape.sets, shape.experts, countHalfLife)
+		l.recent = demand.NewCounter(shape.sets, shape.experts, recentHalfLife)
 	}
+	l.counts.Add(counts, now)
+	l.recent.Add(counts, now)
 }
 
 // step advances the current switch, or computes a new map if it is time to. The
--- a/internal/rank/plan.go
+++ b/internal/rank/plan.go
@@ -53,18 +53,22 @@
 // worthPlanning updates the skew, and reports whether it is high enough for a new
 // map to gain the given reduction. This check takes far less time than computing a
 // map. The caller holds the lock.
-func (l *leader) worthPlanning(current [][][]int, shape mapShape, gain float64) bool {
+func (l *leader) worthPlanning(current [][][]int, loads [][]float64, shape mapShape, gain float64) bool {
 	sum := 0.0
 	for set, ranks := range current {
-		sum += place.FromRanks(ranks, shape.experts).PassTimeSkew(l.loads[set], l.slowdowns)
+		sum += place.FromRanks(ranks, shape.experts).PassTimeSkew(loads[set], l.slowdowns)
 	}
 	l.skew = sum / float64(len(current))
 	return l.skew-1 >= gain
 }
 
 // costFactor returns the factor on costPerCopy and minGain that follows from the
-// duration of passes. The caller holds the lock.
-func (l *leader) costFactor(shape mapShape) float64 {
+// duration of passes. Passes of a group that has just opened say nothing about the load that
+// is about to return. The caller holds the lock.
+func (l *leader) costFactor(shape mapShape, now time.Time) float64 {
+	if l.isOpening(now) {
+		return minCostFactor
+	}
 	if shape.pause == 0 || l.passTime == 0 {
 		return 1
 	}
@@ -98,22 +102,23 @@
 	shape := a.shape
 	a.mu.Unlock()
 	current, currentVersion := l.currentMap()
-	if current == nil || len(l.loads) != len(current) || l.choices < minChoices {
+	loads, stored := l.planningLoads(shape, now)
+	if current == nil || len(loads) != len(current) {
 		return
 	}
-	factor := l.costFactor(shape)
-	if !l.worthPlanning(current, shape, minGain*factor) {
+	factor := l.costFactor(shape, now)
+	if !l.worthPlanning(current, loads, shape, minGain*factor) {
 		return
 	}
 	plan := make([][][]int, len(current))
 	before, after, copies := 0.0, 0.0, 0
 	for set, ranks := range current {
 		m := place.FromRanks(ranks, shape.experts)
-		next, loaded := place.Rebalance(m, l.loads[set], place.RebalanceOptions{
+		next, loaded := place.Rebalance(m, loads[set], place.RebalanceOptions{
 			Slots: shape.slots, MaxNewPerRank: shape.spare, CostPerReplica: costPerCopy * factor, Slowdowns: l.slowdowns,
 		})
-		before += m.PassTimeSkew(l.loads[set], l.slowdowns) / float64(len(current))
-		after += next.PassTimeSkew(l.loads[set], l.slowdowns) / float64(len(current))
+		before += m.PassTimeSkew(loads[set], l.slowdowns) / float64(len(current))
+		after += next.PassTimeSkew(loads[set], l.slowdowns) / float64(len(current))
 		copies += loaded
 		plan[set] = next.Ranks()
 	}
@@ -123,7 +128,7 @@
 	l.plan, l.base, l.baseVersion = plan, current, currentVersion
 	version := l.machine.Begin(l.views, now)
 	event.SwitchPlanned.Log(a.logger, zap.Uint64("version", version), zap.Float64("skew", before), zap.Float64("expected", after),
-		zap.Int("copies", copies), zap.Duration("pass_time", l.passTime), zap.Uint64("pass", l.views[0].Pass))
+		zap.Int("copies", copies), zap.Bool("stored_demand", stored), zap.Duration("pass_time", l.passTime), zap.Uint64("pass", l.views[0].Pass))
 	orders, _ := l.machine.Step(l.views, now)
 	l.sendOrders(orders, now)
 }
