--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -108,7 +108,7 @@
 	minLeadPasses  = 3
 	longLeadPasses = 2
 	maxLeadPasses  = 14
-	// minPassWindow is the shortest span over which the duration of passes is measured
+	// minPassWindow is the shortest span from which the duration of passes is estimated
 	// while ranks prepare a map. Agents report every 100 ms.
 	minPassWindow = 150 * time.Millisecond
 	// defaultPassTime is the assumed duration of a pass until one has been measured.
@@ -154,8 +154,8 @@
 	startedAt time.Time
 	// passTime is the measured duration of a pass, zero if unknown.
 	passTime time.Duration
-	// beginPass is the newest pass when the switch began.
-	beginPass uint64
+	// passes measures passes while ranks prepare a map.
+	passes passMeter
 	// dueAt is when the switch was last known to be certain: all ranks were armed and
 	// none held the pass.
 	dueAt time.Time
@@ -238,7 +238,7 @@
 	l.armOrdered = make(map[int]bool)
 	l.holderRank = (l.ownRank + 1) % l.size
 	l.version = l.nextVersion(highestVersion(views))
-	l.beginPass = newestPass(views)
+	l.passes = newPassMeter(newestPass(views), now)
 	l.enterPhase(Preparing, now)
 	return l.version
 }
@@ -376,6 +376,7 @@
 
 // prepare orders all ranks to copy the map.
 func (l *Leader) prepare(views []View, now time.Time) ([]Order, Outcome) {
+	l.passes.observe(newestPass(views), now)
 	var orders []Order
 	for rank, view := range views {
 		if view.Prepared != l.version {
@@ -390,16 +391,19 @@
 		}
 		return orders, Pending
 	}
-	newest := newestPass(views)
-	l.switchPass = newest + l.leadPasses(newest-min(newest, l.beginPass), now.Sub(l.phaseStart))
+	l.switchPass = newestPass(views) + l.leadPasses(now)
 	l.enterPhase(Holding, now)
 	return l.hold(views, now)
 }
 
-// leadPasses returns how many passes ahead a switch is scheduled. While the ranks prepared
-// the map, some passes have begun within a span.
-func (l *Leader) leadPasses(passes uint64, span time.Duration) uint64 {
-	leadTime, pass := defaultLeadTime, l.currentPassTime(passes, span)
+// leadPasses returns how many passes ahead a switch is scheduled.
+func (l *Leader) leadPasses(now time.Time) uint64 {
+	average := l.passTime
+	if average <= 0 {
+		average = defaultPassTime
+	}
+	pass := l.passes.estimate(average, now)
+	leadTime := defaultLeadTime
 	if l.lossy {
 		leadTime = lossyLeadTime
 	}
@@ -411,24 +415,6 @@
 	return uint64(min(maxLeadPasses, max(least, (leadTime+pass-1)/pass)))
 }
 
-// currentPassTime returns the duration of a pass, given how many have begun within a span
-// that ends now. The measured average lags behind passes that have just become long, as
-// when a rank becomes slow, and is unknown when the group has just opened.
-func (l *Leader) currentPassTime(passes uint64, span time.Duration) time.Duration {
-	average := l.passTime
-	if average <= 0 {
-		average = defaultPassTime
-	}
-	if span < minPassWindow {
-		return average
-	}
-	recent := span / time.Duration(max(1, passes))
-	if passes >= 2 {
-		return recent
-	}
-	return max(average, recent)
-}
-
 // hold orders one rank to hold the pass of the switch, before anything is armed.
 func (l *Leader) hold(views []View, now time.Time) ([]Order, Outcome) {
 	for _, view := range views {
