--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -48,7 +48,7 @@
 // Close shuts down the metrics provider.
 func (m *Meter) Close() { _ = m.provider.Shutdown(context.Background()) }
 
-// Counter is a monotonic counter with one label.
+// Counter is a monotonic counter with one label. The zero value counts nothing.
 type Counter struct {
 	counter metric.Int64Counter
 	label   string
@@ -63,6 +63,9 @@
 
 // Add adds n to the counter for a value of its label.
 func (c Counter) Add(n int64, value string) {
+	if c.counter == nil {
+		return
+	}
 	c.counter.Add(context.Background(), n, metric.WithAttributes(attribute.String(c.label, value)))
 }
 
--- a/internal/rank/demand.go
+++ b/internal/rank/demand.go
@@ -45,9 +45,15 @@
 
 // isKnown reports whether the agent needs no demand from entries.
 func (h *demandHint) isKnown(now time.Time) bool {
+	age, known := h.age(now)
+	return known && age < demandTTL
+}
+
+// age returns the time since the demand was set, if it ever was.
+func (h *demandHint) age(now time.Time) (age time.Duration, known bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.at.IsZero() && now.Sub(h.at) < demandTTL
+	return now.Sub(h.at), !h.at.IsZero()
 }
 
 // set replaces the demand. A demand of nil counts as known, so that entries don't send one
@@ -92,8 +98,10 @@
 		if a.leader.hint.mayLogRefusal() {
 			event.DemandRefused.Log(a.logger, zap.Stringer("entry", from), event.Error(err))
 		}
+		a.leader.demands.Add(1, "refused")
 		received = nil
 	} else {
+		a.leader.demands.Add(1, "learned")
 		event.DemandLearned.Log(a.logger, zap.Stringer("entry", from))
 	}
 	a.leader.hint.set(received, now)
@@ -151,6 +159,7 @@
 	if !due {
 		return
 	}
+	l.demands.Add(1, "sent")
 	l.agent.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
 		Sets: uint32(counted.Sets()), Experts: uint32(counted.Experts()), Weights: counted.Weights(),
 	}}}, entry)
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -111,6 +111,8 @@
 	passTime  time.Duration
 	timedPass uint64
 	timedAt   time.Time
+	// switches and demands count switches and demands for experts by what became of them.
+	switches, demands meter.Counter
 }
 
 // knownMap is the version of the map in use that an agent has reported, and whether
@@ -148,6 +150,14 @@
 				report(int64(l.skew*1000), "in_use")
 			}
 		})
+	metrics.Gauge("lentilstand_demand_age_ms", "Time since the agent was sent or has counted the demand for experts.", "demand",
+		func(report func(int64, string)) {
+			if age, known := l.hint.age(time.Now()); known {
+				report(age.Milliseconds(), "known")
+			}
+		})
+	l.switches = metrics.Counter("lentilstand_expert_switches", "Switches of the expert map by this agent as the leader.", "event")
+	l.demands = metrics.Counter("lentilstand_demands", "Demands for experts that were sent to an entry, learned from one, or refused.", "result")
 	return l
 }
 
@@ -345,8 +355,10 @@
 	orders, outcome := l.machine.Step(l.views, now)
 	switch outcome {
 	case group.Done:
+		l.switches.Add(1, "done")
 		event.SwitchDone.Log(a.logger, zap.Uint64("version", version), zap.Uint64("pass", l.views[0].Pass), phaseTimes(l.machine.Times()))
 	case group.Abandoned:
+		l.switches.Add(1, "abandoned")
 		event.SwitchAbandoned.Log(a.logger, zap.Uint64("version", version), zap.Uint64("switch", l.machine.SwitchVersion()), zap.Stringer("phase", phase), phaseTimes(l.machine.Times()))
 	}
 	if after := l.machine.Phase(); phase == group.Idle && after != group.Idle {
--- a/internal/rank/plan.go
+++ b/internal/rank/plan.go
@@ -127,6 +127,11 @@
 	}
 	l.plan, l.base, l.baseVersion = plan, current, currentVersion
 	version := l.machine.Begin(l.views, now)
+	if stored {
+		l.switches.Add(1, "planned_by_stored_demand")
+	} else {
+		l.switches.Add(1, "planned_by_counts")
+	}
 	event.SwitchPlanned.Log(a.logger, zap.Uint64("version", version), zap.Float64("skew", before), zap.Float64("expected", after),
 		zap.Int("copies", copies), zap.Bool("stored_demand", stored), zap.Duration("pass_time", l.passTime), zap.Uint64("pass", l.views[0].Pass))
 	orders, _ := l.machine.Step(l.views, now)
--- a/internal/rank/rank_test.go
+++ b/internal/rank/rank_test.go
@@ -63,12 +63,22 @@
 	t      *testing.T
 	group  *fakes.Group
 	agents []*rank.Agent
-	peers  []string
-	entry  *dgram.Socket
+	// settings has the agents' settings.
+	settings []prefs.Rank
+	peers    []string
+	entry    *dgram.Socket
 	// popular is the expert that has as much load as all others together.
 	popular atomic.Int64
+	// choices is how often a pass chooses each other expert.
+	choices atomic.Int64
 
 	mu sync.Mutex
+	// demand is what the entry sends to agents that lack it, nil for none. The first lost
+	// ones are lost.
+	demand *wirepb.Demand
+	lost   int
+	// demandKnown has the agents' hosts that reported to know the demand.
+	demandKnown map[netip.Addr]bool
 	// loadReports counts the load reports from each agent's host.
 	loadReports map[netip.Addr]int
 	// known has for each agent the fingerprint of the agents that it knows.
@@ -77,7 +87,8 @@
 
 func newTestGroup(t *testing.T) *testGroup {
 	ips, port := freeAddresses(t)
-	g := &testGroup{t: t, loadReports: make(map[netip.Addr]int), known: make(map[netip.Addr]uint32)}
+	g := &testGroup{t: t, loadReports: make(map[netip.Addr]int), known: make(map[netip.Addr]uint32), demandKnown: make(map[netip.Addr]bool)}
+	g.choices.Store(100)
 	var replicas []string
 	for _, ip := range ips[:ranks] {
 		replicas = append(replicas, net.JoinHostPort(ip, fmt.Sprint(port)))
@@ -85,9 +96,9 @@
 	}
 	popularity := func(_, expert int) uint64 {
 		if expert == int(g.popular.Load()) {
-			return 1500
+			return 15 * uint64(g.choices.Load())
 		}
-		return 100
+		return uint64(g.choices.Load())
 	}
 	group, err := fakes.NewGroup(replicas, sets, experts, 40*time.Millisecond, popularity)
 	require.NoError(t, err)
@@ -98,10 +109,8 @@
 			i, ip, port+1, ip, port+2, replicas[i])
 		settings, err := prefs.ParseRank("agent.jsonc", []byte(settingsText))
 		require.NoError(t, err)
-		agent, err := rank.New(settings, zap.NewNop())
-		require.NoError(t, err)
-		require.NoError(t, agent.Start())
-		g.agents = append(g.agents, agent)
+		g.settings, g.agents = append(g.settings, settings), append(g.agents, nil)
+		g.start(i)
 	}
 	g.entry, err = dgram.Listen(net.JoinHostPort(ips[ranks], fmt.Sprint(port+1)), g.handleDatagram, zap.NewNop())
 	require.NoError(t, err)
@@ -113,6 +122,14 @@
 func (g *testGroup) handleDatagram(from netip.AddrPort, message *wirepb.Datagram) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if load := message.GetLoad(); load != nil {
+		g.demandKnown[from.Addr()] = load.GetDemandKnown()
+		if g.demand != nil && !load.GetDemandKnown() {
+			if g.lost--; g.lost < 0 {
+				g.entry.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: g.demand}}, from)
+			}
+		}
+	}
 	if load := message.GetLoad(); load != nil && load.GetOpen() && load.GetReachable() {
 		g.loadReports[from.Addr()]++
 		g.known[from.Addr()] = load.GetAgentsKnown()
@@ -152,6 +169,13 @@
 	}()
 }
 
+func (g *testGroup) start(at int) {
+	agent, err := rank.New(g.settings[at], zap.NewNop())
+	require.NoError(g.t, err)
+	require.NoError(g.t, agent.Start())
+	g.agents[at] = agent
+}
+
 func (g *testGroup) stop(at int) {
 	g.agents[at].Stop(context.Background())
 	g.agents[at] = nil
@@ -241,3 +265,47 @@
 	after, _ := g.group.Map()
 	require.GreaterOrEqual(t, after, before)
 }
+
+// TestStoredDemandIsUsedWheneverTheGroupOpens opens a group that chooses too few experts to
+// plan by. The leader must plan by the stored demand, though the first datagrams with it are
+// lost, and so must another one after the first has stopped, its agent has started again, and the
+// group has formed again.
+func TestStoredDemandIsUsedWheneverTheGroupOpens(t *testing.T) {
+	g := newTestGroup(t)
+	defer g.stopAll()
+	g.choices.Store(1)
+	g.group.Reform()
+	weights := make([]byte, sets*experts)
+	for i := range weights {
+		weights[i] = 17
+		if i%experts == 0 {
+			weights[i] = 255
+		}
+	}
+	g.mu.Lock()
+	g.demand, g.lost = &wirepb.Demand{Sets: sets, Experts: experts, Weights: weights}, 2*ranks
+	g.mu.Unlock()
+	require.Eventually(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for _, known := range g.demandKnown {
+			if !known {
+				return false
+			}
+		}
+		return len(g.demandKnown) == ranks
+	}, 5*time.Second, 10*time.Millisecond)
+	time.Sleep(time.Second)
+	g.group.Open()
+	g.waitBalanced(0)
+	g.stop(0)
+	g.group.Reform()
+	time.Sleep(time.Second)
+	g.start(0)
+	time.Sleep(time.Second)
+	_, skew := g.group.Map()
+	require.Greater(t, skew, 1.9, "the group has its initial map again")
+	g.group.Open()
+	g.waitBalanced(0)
+	require.Empty(t, g.group.Violations())
+}
