--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -90,7 +90,7 @@
 	if d.writers[service.Name()] == nil {
 		d.writers[service.Name()] = &demand.Writer{}
 	}
-	d.writers[service.Name()].Offer(received)
+	d.writers[service.Name()].Offer(received, float64(message.GetChoices()))
 }
 
 // mayLog reports whether the last log entry is demandLogInterval ago. The caller holds the
--- a/internal/edge/demand_test.go
+++ b/internal/edge/demand_test.go
@@ -44,7 +44,7 @@
 }
 
 func demandMessage(weights ...byte) *wirepb.Datagram {
-	return &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{Sets: 1, Experts: uint32(len(weights)), Weights: weights}}}
+	return &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{Sets: 1, Experts: uint32(len(weights)), Weights: weights, Choices: 1e6}}}
 }
 
 func loadMessage(known bool) *wirepb.Datagram {
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -82,6 +82,8 @@
 	seq            uint64
 	orders         orderState
 	plans          planCache
+	// ordered is the highest version that the agent was ordered to prepare.
+	ordered uint64
 
 	leader *leader
 }
@@ -338,6 +340,7 @@
 	a.mu.Lock()
 	a.seq++
 	message.Seq = a.seq
+	message.Ordered = a.ordered
 	message.MapKnown = state.Map == 0 || a.plans.find(state.Map) != nil
 	if a.expertsVersion == state.Map && a.expertsEpoch == state.Epoch {
 		message.Experts = encodeExperts(a.experts)
--- a/internal/rank/demand.go
+++ b/internal/rank/demand.go
@@ -16,8 +16,8 @@
 // Demand for experts that outlives the group.
 const (
 	// recentHalfLife is the half-life of the counts that are stored. With countHalfLife,
-	// large groups, whose ranks take turns to report counts, have too few in a moment: their
-	// demand would seem to change by more than demand.MinChange by chance.
+	// large groups, whose ranks take turns to report counts, have too few in a moment to tell
+	// a change from chance.
 	recentHalfLife = 2 * time.Second
 	// demandInterval is how often the leader compares the demand with the one that it sent
 	// last, and demandRefresh how often it sends one that has not changed, since datagrams
@@ -130,9 +130,10 @@
 }
 
 // next returns the entry that the demand is to be sent to now. Normally that is the first
-// one, so that one process limits the writes to the store.
-func (s *demandSender) next(d *demand.Demand, entries []netip.AddrPort, now time.Time) (netip.AddrPort, bool) {
-	if len(entries) == 0 || demand.Distance(d, s.sent) <= demand.MinChange && now.Sub(s.sentAt) < demandRefresh {
+// one, so that one process limits the writes to the store. Choices is how many choices of
+// experts were counted.
+func (s *demandSender) next(d *demand.Demand, choices float64, entries []netip.AddrPort, now time.Time) (netip.AddrPort, bool) {
+	if len(entries) == 0 || demand.Distance(d, s.sent) <= d.MinChange(choices) && now.Sub(s.sentAt) < demandRefresh {
 		return netip.AddrPort{}, false
 	}
 	s.sent, s.sentAt = d, now
@@ -155,13 +156,13 @@
 		return
 	}
 	l.hint.set(counted, now)
-	entry, due := l.sender.next(counted, l.agent.entries(now), now)
+	entry, due := l.sender.next(counted, l.recent.Choices(), l.agent.entries(now), now)
 	if !due {
 		return
 	}
 	l.demands.Add(1, "sent")
 	l.agent.socket.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
-		Sets: uint32(counted.Sets()), Experts: uint32(counted.Experts()), Weights: counted.Weights(),
+		Sets: uint32(counted.Sets()), Experts: uint32(counted.Experts()), Weights: counted.Weights(), Choices: uint64(l.recent.Choices()),
 	}}}, entry)
 }
 
@@ -172,15 +173,17 @@
 }
 
 // planningLoads returns the loads of experts, by set, that a map is planned by, nil if too
-// little is known. While the group opens, the stored demand is used as minChoices choices
-// that were counted when it opened. The caller holds the lock.
-func (l *leader) planningLoads(shape mapShape, now time.Time) (loads [][]float64, stored bool) {
+// little is known. Version is that of the map in use. While the group opens, and as long
+// as it uses its initial map with few choices, the stored demand is used as minChoices
+// choices that were counted when it opened. The caller holds the lock.
+func (l *leader) planningLoads(shape mapShape, version uint64, now time.Time) (loads [][]float64, stored bool) {
 	counted := l.counts
 	if !counted.Fits(shape.sets, shape.experts) {
 		counted = demand.NewCounter(shape.sets, shape.experts, countHalfLife)
 	}
-	if hint := l.hint.get(shape); hint != nil && l.isOpening(now) {
-		return counted.LoadsWith(hint, minChoices*demand.Decay(now.Sub(l.openedAt), countHalfLife)), true
+	unswitched := version == 0 && counted.Choices() < minChoices
+	if hint := l.hint.get(shape); hint != nil && (unswitched || l.isOpening(now)) {
+		return counted.LoadsWith(hint, max(1, minChoices*demand.Decay(now.Sub(l.openedAt), countHalfLife))), true
 	}
 	if counted.Choices() < minChoices {
 		return nil, false
--- a/internal/rank/demand_test.go
+++ b/internal/rank/demand_test.go
@@ -264,7 +264,7 @@
 	r.l.hint.set(nil, time.Now().Add(-demandTTL))
 	a.handleDemand(entry, &wirepb.Demand{Sets: 8, Experts: 252, Weights: weights})
 	require.Len(t, logs.FilterMessage(event.DemandRefused.Name()).All(), 1)
-	loads, stored := r.l.planningLoads(r.shape, r.now)
+	loads, stored := r.l.planningLoads(r.shape, 0, r.now)
 	require.Nil(t, loads)
 	require.False(t, stored)
 	_, balanced := r.openAndBalance(t)
@@ -280,7 +280,7 @@
 	now, received := time.Unix(1000, 0), make(map[netip.AddrPort]int)
 	for i := range 30 {
 		now = now.Add(demandInterval)
-		entry, due := sender.next(changing(i), entries, now)
+		entry, due := sender.next(changing(i), 1e6, entries, now)
 		require.True(t, due)
 		received[entry]++
 	}
@@ -288,11 +288,11 @@
 	sent := 0
 	for range 30 {
 		now = now.Add(demandInterval)
-		if _, due := sender.next(changing(1), entries, now); due {
+		if _, due := sender.next(changing(1), 1e6, entries, now); due {
 			sent++
 		}
 	}
 	require.Equal(t, 6, sent, "an unchanged demand is sent each 10 s")
-	_, due := sender.next(changing(0), nil, now)
+	_, due := sender.next(changing(0), 1e6, nil, now)
 	require.False(t, due, "no entry subscribes")
 }
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -315,7 +315,7 @@
 	before := l.views[rank]
 	l.views[rank] = group.View{
 		Known: true, ReportedAt: now, Epoch: report.GetEpoch(), Open: report.GetOpen(), Pass: report.GetPass(),
-		Map: report.GetExpertMap(), Prepared: report.GetPrepared(), Armed: report.GetArmed(), ArmedPass: report.GetArmedPass(),
+		Map: report.GetExpertMap(), Prepared: report.GetPrepared(), Ordered: report.GetOrdered(), Armed: report.GetArmed(), ArmedPass: report.GetArmedPass(),
 		Held: report.GetHeld(), HeldPass: report.GetHeldPass(),
 	}
 	l.slowdowns[rank], l.knownMaps[rank] = report.GetPace(), knownMap{version: report.GetExpertMap(), known: report.GetMapKnown()}
--- a/internal/rank/orders.go
+++ b/internal/rank/orders.go
@@ -97,6 +97,9 @@
 		return
 	}
 	a.orders.receivedAt = currentInstant()
+	if order.GetKind() == wirepb.RankOrder_KIND_PREPARE {
+		a.ordered = max(a.ordered, order.GetVersion())
+	}
 	if sameOrder(a.orders.current, order) && a.orders.running {
 		return
 	}
--- a/internal/rank/plan.go
+++ b/internal/rank/plan.go
@@ -102,7 +102,7 @@
 	shape := a.shape
 	a.mu.Unlock()
 	current, currentVersion := l.currentMap()
-	loads, stored := l.planningLoads(shape, now)
+	loads, stored := l.planningLoads(shape, currentVersion, now)
 	if current == nil || len(loads) != len(current) {
 		return
 	}
--- a/pkg/demand/demand.go
+++ b/pkg/demand/demand.go
@@ -111,6 +111,27 @@
 	return sum / float64(a.sets)
 }
 
+// Bounds of the distance from which a demand counts as changed.
+const (
+	// minChange is the bound if many choices were counted.
+	minChange = 0.1
+	// noiseFactor times the root of the number of experts per choice is the bound for fewer
+	// choices. Independent counts of the same demand differ by 1.13 times that root on
+	// average, as the difference of two normal distributions does.
+	noiseFactor = 1.7
+	// maxChange is the bound if hardly any choices were counted.
+	maxChange = 1
+)
+
+// MinChange returns the distance from which demands of the shape of d differ by more than
+// chance if so many choices of experts were counted.
+func (d *Demand) MinChange(choices float64) float64 {
+	if choices <= 0 {
+		return maxChange
+	}
+	return min(maxChange, max(minChange, noiseFactor*math.Sqrt(float64(len(d.weights))/choices)))
+}
+
 // Stored is the demand that the store has for a service.
 type Stored struct {
 	service string
--- a/pkg/demand/demand_test.go
+++ b/pkg/demand/demand_test.go
@@ -1,6 +1,8 @@
 package demand_test
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -103,20 +105,48 @@
 		return writer.Next(stored, time.Time{}, now)
 	}
 	require.Nil(t, step(time.Second, nil), "nothing is offered")
-	writer.Offer(demands[0])
+	writer.Offer(demands[0], 1e6)
 	require.Equal(t, demands[0], step(time.Second, nil))
 	require.Nil(t, step(5*time.Second, demands[0]))
-	writer.Offer(demands[0])
+	writer.Offer(demands[0], 1e6)
 	require.Nil(t, step(5*time.Second, demands[0]), "the store has it")
-	writer.Offer(demands[1])
+	writer.Offer(demands[1], 1e6)
 	require.Equal(t, demands[1], step(time.Second, demands[0]))
-	writer.Offer(demands[2])
+	writer.Offer(demands[2], 1e6)
 	require.Nil(t, step(3*time.Second, demands[0]))
 	require.Equal(t, demands[2], step(time.Second, demands[0]), "the last one offered is written after 4 s")
-	writer.Offer(demands[1])
+	writer.Offer(demands[1], 1e6)
 	require.Nil(t, step(5*time.Second, demands[2]), "another process has just written")
 	require.Equal(t, demands[1], step(4*time.Second, demands[2]))
-	writer.Offer(demands[2])
+	writer.Offer(demands[2], 1e6)
 	require.Nil(t, writer.Next(demands[1], now, now.Add(900*time.Millisecond)), "the store has just failed")
 	require.Nil(t, step(9*time.Second, demands[1]), "the demand was dropped")
 }
+
+// TestChanceIsNoChange guards against writes for a demand that stays the same, but is counted
+// from few choices.
+func TestChanceIsNoChange(t *testing.T) {
+	const sets, experts = 4, 200
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, perExpert := range []float64{10, 100, 1000} {
+		count := func(shift int) *demand.Demand {
+			loads := make([][]float64, sets)
+			for set := range loads {
+				for expert := range experts {
+					mean := perExpert * float64(1+(expert+shift)%4) / 2.5
+					loads[set] = append(loads[set], math.Max(0, mean+math.Sqrt(mean)*random.NormFloat64()))
+				}
+			}
+			return demand.FromLoads(loads)
+		}
+		d := count(0)
+		bound := d.MinChange(perExpert * sets * experts)
+		for range 50 {
+			require.Less(t, demand.Distance(d, count(0)), bound, "%v choices of each expert", perExpert)
+		}
+		if perExpert >= 100 {
+			require.Greater(t, demand.Distance(d, count(1)), bound, "the demand has changed")
+		}
+	}
+	require.InDelta(t, 1.0, demand.FromLoads([][]float64{{1}}).MinChange(0), 1e-9)
+}
--- a/pkg/demand/writer.go
+++ b/pkg/demand/writer.go
@@ -3,9 +3,6 @@
 import "time"
 
 const (
-	// MinChange is the distance up to which a demand counts as the same: the counts of two
-	// seconds differ by half of it by chance.
-	MinChange = 0.1
 	// writeInterval is the least time between two writes of a service's demand, by this
 	// process or another one. The platform charges for calls, and a write ends all watches.
 	writeInterval = 4 * time.Second
@@ -17,14 +14,18 @@
 // has nothing to write.
 type Writer struct {
 	pending *Demand
+	// pendingChange is the distance from which pending differs from another demand.
+	pendingChange float64
 	// stored is the demand in the store, and changedAt when it was last seen to change or
 	// this process wrote it.
 	stored    *Demand
 	changedAt time.Time
 }
 
-// Offer makes d the demand to write.
-func (w *Writer) Offer(d *Demand) { w.pending = d }
+// Offer makes d, for which so many choices of experts were counted, the demand to write.
+func (w *Writer) Offer(d *Demand, choices float64) {
+	w.pending, w.pendingChange = d, d.MinChange(choices)
+}
 
 // Next returns the demand that is to be written now, nil if there is none. Stored is the
 // demand that the store has, and failedAt when a call to the store last failed. A demand is
@@ -37,7 +38,7 @@
 	if w.pending == nil {
 		return nil
 	}
-	if now.Sub(failedAt) < failurePause || Distance(w.pending, stored) <= MinChange {
+	if now.Sub(failedAt) < failurePause || Distance(w.pending, stored) <= w.pendingChange {
 		w.pending = nil
 		return nil
 	}
--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -20,6 +20,9 @@
 	// Map is the version in use. Prepared is the version that has been copied and is
 	// ready to be armed, zero if there is none.
 	Map, Prepared uint64
+	// Ordered is the highest version that the rank is known to have been ordered to prepare,
+	// also in earlier epochs. The rank refuses it and all versions below.
+	Ordered uint64
 	// Armed is the version that the rank switches to when ArmedPass begins, zero if
 	// there is none.
 	Armed, ArmedPass uint64
@@ -237,7 +240,7 @@
 	l.epoch, l.missingRank = views[0].Epoch, -1
 	l.armOrdered = make(map[int]bool)
 	l.holderRank = (l.ownRank + 1) % l.size
-	l.version = l.nextVersion(highestVersion(views))
+	l.version = l.nextVersion(max(l.version, l.fenceVersion, highestVersion(views)))
 	l.passes = newPassMeter(newestPass(views), now)
 	l.enterPhase(Preparing, now)
 	return l.version
@@ -295,11 +298,11 @@
 	return true
 }
 
-// highestVersion returns the highest version that any rank reports.
+// highestVersion returns the highest version that any rank reports to know.
 func highestVersion(views []View) uint64 {
 	highest := uint64(0)
 	for _, view := range views {
-		highest = max(highest, view.Map, view.Prepared, view.Armed)
+		highest = max(highest, view.Map, view.Prepared, view.Armed, view.Ordered)
 	}
 	return highest
 }
