--- /dev/null
+++ b/pkg/demand/writer.go
@@ -0,0 +1,51 @@
+package demand
+
+import "time"
+
+const (
+	// writeInterval is the least time between two writes of a service's demand, by this
+	// process or another one. The platform charges for calls, and a write ends all watches.
+	writeInterval = 4 * time.Second
+	// failurePause is how long after a failed call nothing is written.
+	failurePause = time.Second
+)
+
+// Writer decides when the demand of one service is written to the store. The zero value
+// has nothing to write.
+type Writer struct {
+	pending *Demand
+	// pendingChange is the distance from which pending differs from another demand.
+	pendingChange float64
+	// stored is the demand in the store, and changedAt when it was last seen to change or
+	// this process wrote it.
+	stored    *Demand
+	changedAt time.Time
+}
+
+// Offer makes d, for which so many choices of experts were counted, the demand to write.
+func (w *Writer) Offer(d *Demand, choices float64) {
+	w.pending, w.pendingChange = d, d.MinChange(choices)
+}
+
+// Next returns the demand that is to be written now, nil if there is none. Stored is the
+// demand that the store has, and failedAt when a call to the store last failed. A demand is
+// dropped if the store has about the same, or has failed lately: the next one follows in
+// time.
+func (w *Writer) Next(stored *Demand, failedAt, now time.Time) *Demand {
+	if w.stored != stored {
+		w.stored, w.changedAt = stored, now
+	}
+	if w.pending == nil {
+		return nil
+	}
+	if now.Sub(failedAt) < failurePause || Distance(w.pending, stored) <= w.pendingChange {
+		w.pending = nil
+		return nil
+	}
+	if now.Sub(w.changedAt) < writeInterval {
+		return nil
+	}
+	next := w.pending
+	w.pending, w.changedAt = nil, now
+	return next
+}
