--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -149,12 +149,13 @@
 	if !r.IsActive() {
 		return true
 	}
-	interval := r.interval(1)
+	interval, phase := r.interval(1), r.phase
 	if relaxed {
-		interval = r.interval(relaxedFactor)
+		// Other endpoints aren't free, so requests already arrive at the entries apart.
+		interval, phase = r.interval(relaxedFactor), r.phase/relaxedFactor
 	}
 	if r.lastSend.IsZero() {
-		return !now.Before(r.startedAt.Add(time.Duration(r.phase * float64(interval))))
+		return !now.Before(r.startedAt.Add(time.Duration(phase * float64(interval))))
 	}
 	return now.Sub(r.lastSend) >= interval
 }
--- a/pkg/sched/ramp_test.go
+++ b/pkg/sched/ramp_test.go
@@ -266,6 +266,26 @@
 	require.GreaterOrEqual(t, paused.sentIn(p.now.Add(-2*time.Second), p.now), 26)
 }
 
+// TestEndpointsThatRecoverTogetherServeTheirCallers guards against entries that refuse requests
+// since all endpoints have recovered from the same pause.
+func TestEndpointsThatRecoverTogetherServeTheirCallers(t *testing.T) {
+	for seed := range uint64(4) {
+		p := newPlainSite(seed, 28, WithColdLimit(func() ColdLimit { return ColdLimit{Rate: 17, MaxRate: 30.5, Entries: simulationEntries} }))
+		for range 4 {
+			p.add(80*time.Millisecond, 0)
+		}
+		p.run(12 * time.Second)
+		for _, s := range p.services {
+			for _, e := range s.endpoints {
+				s.RecordPause(Assignment{endpoint: e}, time.Second)
+			}
+		}
+		p.run(time.Second)
+		p.run(time.Second)
+		require.LessOrEqual(t, p.refused, 2)
+	}
+}
+
 // TestColdEndpointStaysWithinItsLimit guards against a pace above the limit of an endpoint that is
 // cold, whether it bears more or not, and against a flood when its cold time ends.
 func TestColdEndpointStaysWithinItsLimit(t *testing.T) {
--- a/pkg/sched/speed.go
+++ b/pkg/sched/speed.go
@@ -22,7 +22,7 @@
 	// to lose all but staleWeight of their weight, as the endpoint seems to have recovered. The
 	// work of requests of a route varies by about half.
 	recoveredFactor = 0.5
-	staleWeight     = 0.25
+	staleWeight     = 0.1
 	// maxSlowness bounds what one response says, in mean times of the service, and how much
 	// slower than others an endpoint is taken to be.
 	maxSlowness = 10
