--- a/pkg/sched/endpoint.go
+++ b/pkg/sched/endpoint.go
@@ -58,6 +58,8 @@
 	// ramp is the pace at which the endpoint, if it belongs to a plain service, gets requests
 	// after it has started or recovered.
 	ramp pace.Ramp
+	// responses are the response times of the endpoint, if it belongs to a plain service.
+	responses responseTimes
 	// failures is the failure score as of failuresUpdatedAt.
 	failures          float64
 	failuresUpdatedAt time.Time
@@ -86,6 +88,9 @@
 
 // failureScore returns the exponentially decayed count of failures. Successes reduce it.
 func (e *endpoint) failureScore(now time.Time) float64 {
+	if e.failures == 0 {
+		return 0
+	}
 	return e.failures * math.Exp2(-now.Sub(e.failuresUpdatedAt).Seconds()/failureHalfLife.Seconds())
 }
 
--- a/pkg/sched/exclude_test.go
+++ b/pkg/sched/exclude_test.go
@@ -11,6 +11,9 @@
 	"github.com/lentilstand/lentilstand/pkg/pick"
 )
 
+// reportsEach is the interval of agents' reports.
+const reportsEach = 100 * time.Millisecond
+
 // ranksWith returns n loads with a pace of 1, except for those given.
 func ranksWith(n int, paces ...float64) []pick.Load {
 	loads := make([]pick.Load, n)
@@ -168,21 +171,25 @@
 	}
 }
 
-// BenchmarkExcludeSlowRanks measures the decision with one slow rank and with all of them slow.
-func BenchmarkExcludeSlowRanks(b *testing.B) {
+// BenchmarkChooseEndpoint measures a whole decision of a model service with a slow rank, and of a
+// plain service with ramps and response times.
+func BenchmarkChooseEndpoint(b *testing.B) {
 	for _, n := range []int{63, 860} {
-		for _, slow := range []int{1, n} {
-			b.Run(fmt.Sprintf("%d/%d", n, slow), func(b *testing.B) {
-				paces := make([]float64, slow)
-				for i := range paces {
-					paces[i] = 1.5 + float64(i*7919%997)/100
+		for _, isModel := range []bool{true, false} {
+			b.Run(fmt.Sprintf("%d/model=%v", n, isModel), func(b *testing.B) {
+				s := newModelService(n, 10)
+				now := time.Unix(1000, 0)
+				s.isModelService, s.meanRunTime, s.now = isModel, time.Second, func() time.Time { return now }
+				for i, e := range s.endpoints {
+					// An entry of a fleet of 105 uses about a tenth of 860 endpoints.
+					e.unused = n > 63 && i%10 > 0
+					e.reported, e.reportedAt, e.hasAgent = i%9, now, isModel
+					s.startRamp(e, now, "benchmark")
 				}
-				loads, exclusions, now := ranksWith(n, paces...), newExclusions(n), time.Unix(1000, 0)
-				scratch := make([]pick.Load, n)
+				s.endpoints[n/2].pace = 6
 				b.ReportAllocs()
 				for b.Loop() {
-					copy(scratch, loads)
-					excludeSlowRanks(scratch, exclusions, 50*time.Millisecond, 90*time.Millisecond, now)
+					s.choose(Request{}, now)
 				}
 			})
 		}
