--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -420,6 +420,11 @@
 	if l.lossy {
 		leadTime = lossyLeadTime
 	}
+	if l.passTime <= 0 && !l.lossy {
+		// The passes of a group that has just opened are long, as many prompts are read on
+		// the initial map. With shorter ones the group waits until the ranks are armed.
+		return minLeadPasses
+	}
 	leadTime += time.Duration(l.size) * leadTimePerRank
 	least := time.Duration(minLeadPasses)
 	if pass >= leadTime {
--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -145,19 +145,22 @@
 
 // Allows reports whether the entry may send a request. Relaxed is set if no other endpoint
 // takes the request.
-func (r *Ramp) Allows(now time.Time, relaxed bool) bool {
+func (r *Ramp) Allows(now time.Time, relaxed bool) bool { return !now.Before(r.NextSend(relaxed)) }
+
+// NextSend returns the earliest time at which the entry may send a request, zero without a
+// limit. Relaxed is as for Allows.
+func (r *Ramp) NextSend(relaxed bool) time.Time {
 	if !r.IsActive() {
-		return true
+		return time.Time{}
 	}
-	interval, phase := r.interval(1), r.phase
+	interval := r.interval(1)
 	if relaxed {
-		// Other endpoints aren't free, so requests already arrive at the entries apart.
-		interval, phase = r.interval(relaxedFactor), r.phase/relaxedFactor
+		interval = r.interval(relaxedFactor)
 	}
 	if r.lastSend.IsZero() {
-		return !now.Before(r.startedAt.Add(time.Duration(phase * float64(interval))))
+		return r.startedAt.Add(time.Duration(r.phase * float64(interval)))
 	}
-	return now.Sub(r.lastSend) >= interval
+	return r.lastSend.Add(interval)
 }
 
 // RecordSend counts a request that is sent to the endpoint.
--- a/pkg/sched/ramp.go
+++ b/pkg/sched/ramp.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -96,3 +97,33 @@
 		loads[i].Throttled = loads[i].Throttled || !e.ramp.Allows(now, !free)
 	}
 }
+
+// isRampDueWithin reports whether a ramp, which keeps the request from an endpoint with a free slot,
+// allows it within the request's MaxWait. The caller must hold s.mu.
+func (s *Service) isRampDueWithin(req Request, now time.Time) bool {
+	if req.MaxWait <= 0 {
+		return false
+	}
+	wait := s.timeToRamp(req.Tried, now)
+	return wait > 0 && wait <= req.MaxWait
+}
+
+// timeToRamp returns the time until the first endpoint that has a free slot is allowed a request by
+// its ramp, or zero if ramps keep the request from no endpoint. The caller must hold s.mu.
+func (s *Service) timeToRamp(tried map[string]bool, now time.Time) time.Duration {
+	if s.isModelService || !slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.ramp.IsActive() }) {
+		return 0
+	}
+	shortest := time.Duration(0)
+	loads := s.loads(tried, now)
+	for i, e := range s.endpoints {
+		load := &loads[i]
+		if load.Unavailable || load.Tried || !e.ramp.IsActive() || load.Slots > 0 && load.InFlight() >= load.Slots {
+			continue
+		}
+		if wait := e.ramp.NextSend(true).Sub(now); wait > 0 && (shortest == 0 || wait < shortest) {
+			shortest = wait
+		}
+	}
+	return shortest
+}
