--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -70,7 +70,7 @@
 	e.budget.addRequest(r.service.Name(), r.receivedAt, limits)
 	wanted := sched.Request{
 		Priority: r.team.Priority(r.route), ClientRetry: e.isClientRetry(r), Tried: r.tried,
-		MaxWait:         time.Duration(float64(r.route.LatencyTarget()) * sched.QueueWaitShare),
+		MaxWait:         r.service.MaxWait(r.route.LatencyTarget()),
 		MaxEndpointWait: r.route.LatencyTarget(),
 	}
 	if wanted.ClientRetry {
@@ -316,6 +316,9 @@
 		return failed, nil, "response without a seal header"
 	}
 	if success && r.route.Semantics() == table.Stream {
+		if !r.isResuming(forwarder) {
+			forwarder.begun = func() { r.service.RecordFirstEvent(assignment) }
+		}
 		return forwarder.forward(ctx, response, progress)
 	}
 	if forwarder.stream != nil {
@@ -416,6 +419,9 @@
 	stream  *webio.Stream
 	// lastEventID is the id of the last event that was sent to the caller.
 	lastEventID string
+	// begun is called at the first event of a stream that begins in this attempt, nil for
+	// others.
+	begun func()
 }
 
 // forward forwards the events of one attempt. The response header is sent with the
@@ -459,6 +465,9 @@
 func (f *streamForwarder) start(response *conns.Response) error {
 	r := f.request
 	r.status, r.firstByte = response.Status, time.Since(r.receivedAt)
+	if f.begun != nil {
+		f.begun()
+	}
 	stream, err := r.exchange.StartKeepAliveStream(response.Status, platform.ForwardedHeader(response.Header))
 	if err != nil {
 		r.reason = "the caller has gone"
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -240,22 +240,18 @@
 	return <-w.assigned, nil
 }
 
-// assignWaiting assigns queued requests to endpoints, in the order of precedes and
-// then of arrival, until one can't be assigned. The caller must hold s.mu.
+// assignWaiting assigns queued requests to endpoints, in the order of nextWaiting, until
+// one can't be assigned. The caller must hold s.mu.
 func (s *Service) assignWaiting(now time.Time) {
 	for len(s.waiting) > 0 {
-		next := 0
-		for i, w := range s.waiting {
-			if s.precedes(w.request, s.waiting[next].request, now) {
-				next = i
-			}
-		}
+		next := s.nextWaiting(now)
 		w := s.waiting[next]
 		assignment, verdict := s.assign(w.request, now)
 		if verdict != pick.Chosen {
 			return
 		}
 		s.waiting = slices.Delete(s.waiting, next, next+1)
+		s.countTurn(w.request)
 		w.assigned <- assignment
 	}
 }
@@ -308,7 +304,9 @@
 }
 
 // normallyPrecedes reports whether r goes before other, which arrived earlier, except
-// during the recovery from an outage.
+// during the recovery from an outage. At equal priority, requests that can still be on time
+// go before those that can't: a late response has less value, and one that waits for a late
+// one becomes late as well.
 func (r Request) normallyPrecedes(other Request) bool {
 	if r.Resuming != other.Resuming {
 		return r.Resuming
@@ -316,5 +314,5 @@
 	if r.Priority != other.Priority {
 		return r.Priority < other.Priority
 	}
-	return r.ClientRetry && !other.ClientRetry
+	return !r.isLate() && other.isLate()
 }
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -49,7 +49,7 @@
 	// three reports are missed.
 	stalledAgentTimeout = 300 * time.Millisecond
 	// QueueWaitShare is the share of a route's latency target that a request may spend
-	// in the queue.
+	// in the queue in any case.
 	QueueWaitShare = 0.25
 	// defaultOutage is the expected length of an outage before the service has had
 	// one. Ranks restart and form a group in about that time.
@@ -175,6 +175,16 @@
 	outageStart, outageEnd time.Time
 	// meanOutage is the moving average of the length of outages, zero before the first.
 	meanOutage time.Duration
+	// gapTarget is the longest gap between events at which streams are on time, zero if the
+	// service has none.
+	gapTarget time.Duration
+	// engine has the figures of the service's model replicas; nil for a plain service.
+	engine *table.Engine
+	// firstEvents has the recent times from the assignment of a stream to its first event.
+	firstEvents latency
+	// passedOver is how many requests were assigned from the queue while a late one of equal
+	// priority waited, since the last late one.
+	passedOver int
 	// passTarget is the mean interval between passes up to which streams are on time, zero
 	// if the service has none.
 	passTarget time.Duration
@@ -307,6 +317,7 @@
 func (s *Service) SetGapTarget(target time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.gapTarget = target
 	s.passTarget = time.Duration(passTargetShare * float64(target))
 }
 
--- /dev/null
+++ b/pkg/sched/wait.go
@@ -0,0 +1,134 @@
+package sched
+
+import (
+	"math"
+	"time"
+
+	"github.com/lentilstand/lentilstand/pkg/table"
+)
+
+// Parameters of the time that requests may wait, and of turns of late requests.
+const (
+	// firstEventWeight is the weight of one stream in the moving averages of the time to the
+	// first event and of its deviation.
+	firstEventWeight = 0.2
+	// firstEventDeviations is how many mean deviations are added to the mean time to the
+	// first event, as for a retransmission timeout: few streams take longer.
+	firstEventDeviations = 2
+	// firstEventLifetime is how long a measured time to the first event is used. The passes
+	// of a group are of another length when its load has changed.
+	firstEventLifetime = 3 * time.Second
+	// lateTurn is how many queued requests that can be on time are assigned for each late one
+	// of equal priority that waits. Late requests thus get a quarter of the turns.
+	lateTurn = 3
+)
+
+// SetEngine sets the figures of the service's model replicas, nil for a plain service.
+func (s *Service) SetEngine(engine *table.Engine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engine = engine
+}
+
+// RecordFirstEvent records that the first event of a stream has arrived, which began at the
+// endpoint that it was assigned to.
+func (s *Service) RecordFirstEvent(assignment Assignment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.firstEvents.add(now.Sub(assignment.assignedAt), now)
+}
+
+// MaxWait returns how long a request with a latency target may wait for a slot: the target
+// without the expected time to its first event and without one pass as long as the gap
+// target, in case the passes become longer meanwhile. It is at least QueueWaitShare of
+// the target.
+func (s *Service) MaxWait(target time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	least := time.Duration(float64(target) * QueueWaitShare)
+	expected := s.expectedFirstEvent(s.now())
+	if expected == 0 {
+		return least
+	}
+	return max(least, target-expected-s.gapTarget)
+}
+
+// expectedFirstEvent returns the time from the assignment of a stream until its first event
+// that few streams exceed, zero if it isn't known. The caller must hold s.mu.
+func (s *Service) expectedFirstEvent(now time.Time) time.Duration {
+	if s.firstEvents.isRecent(now) {
+		return s.firstEvents.mean + firstEventDeviations*s.firstEvents.deviation
+	}
+	if s.engine == nil || s.engine.PrefillRate <= 0 {
+		return 0
+	}
+	// The prompt is read in the pass after the one in progress, at the earliest.
+	prefill := time.Duration(float64(s.engine.MeanPromptTokens) / s.engine.PrefillRate * float64(time.Second))
+	return 2*s.engine.PassTime() + prefill
+}
+
+// latency is a moving average of durations and of their deviation from it. The zero value
+// has none.
+type latency struct {
+	mean, deviation time.Duration
+	last            time.Time
+}
+
+// add adds a duration that was measured now. The first one after firstEventLifetime
+// replaces older ones.
+func (l *latency) add(measured time.Duration, now time.Time) {
+	if !l.isRecent(now) {
+		l.mean, l.deviation = measured, measured/2
+	} else {
+		difference := measured - l.mean
+		l.mean += time.Duration(firstEventWeight * float64(difference))
+		l.deviation += time.Duration(firstEventWeight * (math.Abs(float64(difference)) - float64(l.deviation)))
+	}
+	l.last = now
+}
+
+// isRecent reports whether a duration was added within firstEventLifetime.
+func (l *latency) isRecent(now time.Time) bool {
+	return !l.last.IsZero() && now.Sub(l.last) <= firstEventLifetime
+}
+
+// nextWaiting returns the index of the queued request to assign next: the first in the order
+// of precedes, or a late one of equal priority after lateTurn others. The queue must not be
+// empty, and the caller must hold s.mu.
+func (s *Service) nextWaiting(now time.Time) int {
+	next := 0
+	for i, w := range s.waiting {
+		if s.precedes(w.request, s.waiting[next].request, now) {
+			next = i
+		}
+	}
+	if first := s.waiting[next].request; s.passedOver >= lateTurn && !first.isLate() && !s.isRecovering(now) {
+		if late := s.lateWaiting(first.Priority); late >= 0 {
+			return late
+		}
+	}
+	return next
+}
+
+// lateWaiting returns the index of the first queued request with a priority that can't be on
+// time, -1 if there is none. The caller must hold s.mu.
+func (s *Service) lateWaiting(priority int) int {
+	for i, w := range s.waiting {
+		if w.request.isLate() && w.request.Priority == priority {
+			return i
+		}
+	}
+	return -1
+}
+
+// countTurn counts a request that was assigned from the queue, which it has left, for the
+// turns of late requests. The caller must hold s.mu.
+func (s *Service) countTurn(assigned Request) {
+	switch {
+	case assigned.isLate():
+		s.passedOver = 0
+	case s.lateWaiting(assigned.Priority) >= 0:
+		s.passedOver++
+	}
+}
