--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -36,6 +36,9 @@
 	// leastUrgentPriority is the highest value of the endpoints' priority header; 0 is the
 	// most urgent.
 	leastUrgentPriority = 9
+	// maxPromptTokens bounds the number of prompt tokens that a caller states, so that a
+	// wrong one doesn't hold up other callers. No engine has a longer context.
+	maxPromptTokens = 1 << 20
 )
 
 // attemptResult is how an attempt ended.
@@ -72,6 +75,7 @@
 		Priority: r.team.Priority(r.route), ClientRetry: e.isClientRetry(r), Tried: r.tried,
 		MaxWait:         r.service.MaxWait(r.route.LatencyTarget()),
 		MaxEndpointWait: r.route.LatencyTarget(),
+		PromptTokens:    min(r.head.PromptTokens, maxPromptTokens),
 	}
 	if wanted.ClientRetry {
 		wanted.MaxWait = min(sched.RetryQueueWait, time.Until(r.deadline)/2)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -132,9 +132,30 @@
 				s.EachLimit(func(endpoint *table.Endpoint, perSecond float64) { report(int64(1000*perSecond), endpoint.ID()) })
 			}
 		})
+	e.addPassMetrics(metrics)
 	return e, nil
 }
 
+// addPassMetrics adds the metrics of the pass times of groups.
+func (e *Entry) addPassMetrics(metrics *meter.Meter) {
+	metrics.Gauge("lentilstand_pass_predicted_microseconds", "Predicted time of the next pass of a service's group with one request more.",
+		"service", func(report func(int64, string)) {
+			for _, s := range e.allServices() {
+				if predicted, _ := s.PassTimes(); predicted > 0 {
+					report(predicted.Microseconds(), s.Name())
+				}
+			}
+		})
+	metrics.Gauge("lentilstand_pass_measured_microseconds", "Time of the last passes of a service's group that its agents have measured.",
+		"service", func(report func(int64, string)) {
+			for _, s := range e.allServices() {
+				if _, measured := s.PassTimes(); measured > 0 {
+					report(measured.Microseconds(), s.Name())
+				}
+			}
+		})
+}
+
 // Start opens the listeners and starts to watch the store and serve requests.
 func (e *Entry) Start() error {
 	settings := e.settings.Load()
--- /dev/null
+++ b/pkg/pass/pass_test.go
@@ -0,0 +1,129 @@
+package pass
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lentilstand/lentilstand/pkg/table"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// checkGolden compares text to a golden file.
+func checkGolden(t *testing.T, name, text string) {
+	t.Helper()
+	path := "testdata/" + name + ".golden"
+	if *update {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, string(want), text)
+}
+
+// newModel returns the model of an engine with ten slots, whose experts do 0.85 of the work.
+func newModel() *Model {
+	return New(&table.Engine{
+		Slots: 10, Stride: 6, Step: 5850 * time.Microsecond, PerSequence: 426 * time.Microsecond,
+		ContextPerThousand: 43200 * time.Nanosecond, PrefillRate: 61_200,
+		MeanPromptTokens: 800, MeanOutputTokens: 138, ExpertShare: 0.85,
+	}, 120*time.Millisecond)
+}
+
+func milliseconds(d time.Duration) string { return fmt.Sprintf("%.1f", d.Seconds()*1000) }
+
+// TestBaseGolden guards against changes of the time of passes by the engine's figures.
+func TestBaseGolden(t *testing.T) {
+	var text strings.Builder
+	text.WriteString("decoding context prefill ms\n")
+	for _, decoding := range []int{0, 1, 3, 6, 10} {
+		for _, prefill := range []int{0, 800, 2400, 8000} {
+			fmt.Fprintln(&text, decoding, decoding*869, prefill, milliseconds(newModel().Base(decoding, decoding*869, prefill)))
+		}
+	}
+	checkGolden(t, "base", text.String())
+}
+
+// TestPredictGolden guards against changes of the predictions: a group of 63 ranks that is
+// measured under one load by passes with a skew of the work for tokens, and predicted under
+// another load.
+func TestPredictGolden(t *testing.T) {
+	var text strings.Builder
+	text.WriteString("skew measured_running measured_ms factor running max_running unread predicted_ms\n")
+	for _, skew := range []float64{1, 1.7, 2.8} {
+		for _, running := range []float64{63, 630} {
+			load := Load{Ranks: 63, Running: running, MaxRunning: running / 63}
+			e := NewEstimator(newModel())
+			fixed, tokens := e.model.parts(load)
+			measured := fixed + time.Duration(skew*float64(tokens))
+			for i := range 10 {
+				e.Observe(load, measured, time.Unix(1000, 0).Add(time.Duration(i)*50*time.Millisecond))
+			}
+			for _, next := range []Load{
+				{Ranks: 63, Running: 189, MaxRunning: 3},
+				{Ranks: 63, Running: 630, MaxRunning: 10},
+				{Ranks: 63, Running: 630, MaxRunning: 10, Unread: 100 * 800, MaxUnread: 4 * 800},
+			} {
+				fmt.Fprintf(&text, "%.1f %.0f %s %.2f %.0f %.0f %.0f %s\n", skew, running, milliseconds(measured), e.Factor(),
+					next.Running, next.MaxRunning, next.Unread, milliseconds(e.Predict(next)))
+			}
+		}
+	}
+	checkGolden(t, "predict", text.String())
+}
+
+// TestFactorRisesFastAndDecays guards against predictions that lag behind a slow rank, and
+// against ones that hold requests back long after it.
+func TestFactorRisesFastAndDecays(t *testing.T) {
+	e, load := NewEstimator(newModel()), Load{Ranks: 63, Running: 400, MaxRunning: 7}
+	now := time.Unix(1000, 0)
+	observe := func(span, measured time.Duration) {
+		for range span / (50 * time.Millisecond) {
+			now = now.Add(50 * time.Millisecond)
+			e.Observe(load, measured, now)
+		}
+	}
+	observe(time.Second, e.Predict(load))
+	require.InDelta(t, 1, e.Factor(), 0.01)
+	observe(150*time.Millisecond, 200*time.Millisecond)
+	require.Greater(t, e.Predict(load), 150*time.Millisecond)
+	slow := e.Factor()
+	observe(time.Second, NewEstimator(newModel()).Predict(load))
+	require.Less(t, e.Factor()-1, (slow-1)/10)
+	observe(time.Second, time.Hour)
+	require.LessOrEqual(t, e.Factor(), float64(maxFactor), "a group that stands still doesn't tell what work costs")
+	observe(time.Second, 0)
+	require.Less(t, e.Factor(), 1.5, "a group without requests forgets")
+}
+
+// TestPromptsThatWereReadAreNoSkew guards against a factor that takes the prompts of many
+// requests that begin together for a skewed map.
+func TestPromptsThatWereReadAreNoSkew(t *testing.T) {
+	e := NewEstimator(newModel())
+	now := time.Unix(1000, 0)
+	e.Observe(Load{Ranks: 63}, 0, now)
+	load := Load{Ranks: 63, Running: 315, MaxRunning: 5}
+	// 315 prompts are read in one pass of 100 ms.
+	e.Observe(load, newModel().Base(5, 5*869, 5*800), now.Add(100*time.Millisecond))
+	require.InDelta(t, 1, e.Factor(), 0.1)
+}
+
+// TestModelWithoutFigures checks that a model without figures predicts nothing.
+func TestModelWithoutFigures(t *testing.T) {
+	require.Zero(t, New(&table.Engine{}, 0).Base(10, 1000, 1000))
+	require.Zero(t, NewEstimator(New(&table.Engine{}, 0)).Predict(Load{}))
+}
+
+// BenchmarkPredict measures a prediction with one request more.
+func BenchmarkPredict(b *testing.B) {
+	e := NewEstimator(newModel())
+	for b.Loop() {
+		e.Predict(e.WithOneMore(Load{Ranks: 63, Running: 400, MaxRunning: 8}))
+	}
+}
--- a/pkg/sched/endpoint.go
+++ b/pkg/sched/endpoint.go
@@ -35,6 +35,9 @@
 	// reported is the number of requests of all entries in the last load report.
 	reported    int
 	ownAtReport int
+	// reportedWaiting is how many of the requests in the agent's last report wait for a slot,
+	// and sentTokens the number of prompt tokens that this entry has sent since.
+	reportedWaiting, sentTokens int
 	// slots is the number of requests that the endpoint runs concurrently.
 	slots int
 	// reportedAt is when the last load report arrived.
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -274,6 +274,8 @@
 	ClientRetry bool
 	// Resuming is set for a stream that began at another endpoint.
 	Resuming bool
+	// PromptTokens is the number of tokens of the prompt, zero if it isn't known.
+	PromptTokens int
 	// MaxWait bounds the time that the request spends in the queue.
 	MaxWait time.Duration
 	// MaxEndpointWait bounds the time for which the request is expected to wait for a slot
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -180,6 +180,8 @@
 	gapTarget time.Duration
 	// engine has the figures of the service's model replicas; nil for a plain service.
 	engine *table.Engine
+	// passes predicts the passes of the service's group.
+	passes passTracker
 	// firstEvents has the recent times from the assignment of a stream to its first event.
 	firstEvents latency
 	// passedOver is how many requests were assigned from the queue while a late one of equal
@@ -318,6 +320,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gapTarget = target
+	s.passes.configure(s.engine, target)
 	s.passTarget = time.Duration(passTargetShare * float64(target))
 }
 
@@ -468,6 +471,7 @@
 		return Assignment{}, verdict
 	}
 	e.own++
+	s.countPrompt(e, req.PromptTokens)
 	e.takeFromLimit(now)
 	s.sends.add(now)
 	if e.isCold(now) {
@@ -632,6 +636,8 @@
 		}
 		e.notAccepting = !report.Accepting
 		e.pace, e.passInterval = max(1, report.Pace), report.PassInterval
+		e.reportedWaiting, e.sentTokens = report.Waiting, 0
+		s.observePasses(now)
 		s.assignWaiting(now)
 		return true
 	}
--- a/pkg/sched/wait.go
+++ b/pkg/sched/wait.go
@@ -28,6 +28,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.engine = engine
+	s.passes.configure(engine, s.gapTarget)
 }
 
 // RecordFirstEvent records that the first event of a stream has arrived, which began at the
