--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -75,6 +75,7 @@
 		Priority: r.team.Priority(r.route), ClientRetry: e.isClientRetry(r), Tried: r.tried,
 		MaxWait:         r.service.MaxWait(r.route.LatencyTarget()),
 		MaxEndpointWait: r.route.LatencyTarget(),
+		Team:            r.team.Name(),
 		PromptTokens:    min(r.head.PromptTokens, maxPromptTokens),
 	}
 	if wanted.ClientRetry {
--- a/pkg/sched/admit.go
+++ b/pkg/sched/admit.go
@@ -49,6 +49,9 @@
 	return kind(2 * r.Priority)
 }
 
+// priority returns the priority of the kind's requests.
+func (k kind) priority() int { return int(k >> 1) }
+
 // kindCount has the decayed counts of the requests of one kind.
 type kindCount struct {
 	kind kind
@@ -113,10 +116,26 @@
 	return own.sent*all.offered < floorShare*all.sent*(own.offered-1)
 }
 
+// perSecond returns the factor by which a count is multiplied to get a rate.
+func (k *kindCounts) perSecond(now time.Time) float64 {
+	return halved(now.Sub(k.decayedAt), kindHalfLife) * math.Ln2 / kindHalfLife.Seconds()
+}
+
+// ofPriority returns the counts of the requests of a priority.
+func (k *kindCounts) ofPriority(priority int) (offered, sent float64) {
+	for _, count := range k.kinds {
+		if count.kind.priority() == priority {
+			offered += count.offered
+			sent += count.sent
+		}
+	}
+	return offered, sent
+}
+
 // ratesBeside returns the rates at which this entry gets requests that are more urgent, and
 // less urgent, than a kind, per second.
 func (k *kindCounts) ratesBeside(wanted kind, now time.Time) (more, less float64) {
-	perSecond := halved(now.Sub(k.decayedAt), kindHalfLife) * math.Ln2 / kindHalfLife.Seconds()
+	perSecond := k.perSecond(now)
 	for _, count := range k.kinds {
 		switch {
 		case count.kind < wanted:
@@ -136,32 +155,52 @@
 	if !s.isModelService || req.Resuming {
 		return false
 	}
-	reporting, slots, inFlight, others := 0, 0.0, 0.0, 0.0
-	for i, e := range s.endpoints {
-		if loads[i].Unavailable || e.slots <= 0 || !isReporting(e, &loads[i]) {
-			continue
-		}
-		reporting++
-		slots += float64(e.slots)
-		inFlight += float64(loads[i].InFlight()) + loads[i].Expected
-		others += loads[i].Others
-	}
-	if reporting == 0 {
+	group := s.groupSlots(loads)
+	if group.reporting == 0 {
 		return false
 	}
+	if s.isOverLevel(req, now) {
+		return !s.kinds.isUnderserved(req.kind())
+	}
 	more, less := s.kinds.ratesBeside(req.kind(), now)
-	// The other entries that use the same endpoints get about as many requests.
-	arrivals := more * (1 + others/float64(reporting))
-	reserve := math.Floor(min(maxReserveShare*slots, arrivals*reserveTime.Seconds()))
+	reserve := math.Floor(min(maxReserveShare*group.slots, more*group.entries*reserveTime.Seconds()))
 	share := 1.0
 	if more > 0 {
 		share -= lessUrgentMargin * more / (more + less)
 	}
-	capacity := s.passCapacity(loads, slots, share)
-	if reserve == 0 && capacity >= slots {
+	capacity := s.passCapacity(loads, group.slots, share)
+	if reserve == 0 && capacity >= group.slots {
 		return false
 	}
-	return inFlight+1+reserve > capacity && !s.kinds.isUnderserved(req.kind())
+	return group.inFlight+1+reserve > capacity && !s.kinds.isUnderserved(req.kind())
+}
+
+// slotCount is the use of the slots of a service's endpoints, as far as their agents report.
+type slotCount struct {
+	// reporting is the number of endpoints.
+	reporting int
+	// slots is the number of their slots, and inFlight that of the requests there.
+	slots, inFlight float64
+	// entries is the mean number of entries that use one of the endpoints. Other entries are
+	// taken to get about as many requests as this one.
+	entries float64
+}
+
+// groupSlots returns the use of the endpoints' slots by their loads. The caller must hold s.mu.
+func (s *Service) groupSlots(loads []pick.Load) slotCount {
+	var group slotCount
+	others := 0.0
+	for i, e := range s.endpoints {
+		if loads[i].Unavailable || e.slots <= 0 || !isReporting(e, &loads[i]) {
+			continue
+		}
+		group.reporting++
+		group.slots += float64(e.slots)
+		group.inFlight += float64(loads[i].InFlight()) + loads[i].Expected
+		others += loads[i].Others
+	}
+	group.entries = 1 + others/float64(max(1, group.reporting))
+	return group
 }
 
 // isUnderserved reports whether a request is of a kind that is sent so seldom that it isn't held
--- a/pkg/sched/play_test.go
+++ b/pkg/sched/play_test.go
@@ -34,6 +34,8 @@
 	// work of experts.
 	load func(kind int, at time.Duration) float64
 	skew func(at time.Duration) float64
+	// separated is set if the most urgent requests and the others get to different entries.
+	separated bool
 	// configure changes the services, or nil.
 	configure func([]*Service)
 	// exchange runs each hello period, or is nil.
@@ -125,6 +127,9 @@
 			if at < span && p.random.Float64() < k.perSecond*p.load(kind, at)*step.Seconds() {
 				r := &playRequest{kind: kind, entry: p.random.IntN(p.entries), arrived: p.now, team: p.random.IntN(playTeams)}
 				r.prompt, r.events = 674+p.random.IntN(287), 10+p.random.IntN(27)
+				if p.separated {
+					r.entry = p.random.IntN(p.entries/2) + p.entries/2*min(kind, 1)
+				}
 				p.all = append(p.all, r)
 				p.admit(r)
 			}
@@ -154,6 +159,21 @@
 	}
 }
 
+// sendHellos has each entry send its level to all others but one.
+func sendHellos(p *play) {
+	for from, sender := range p.services {
+		pressure, ok := sender.UpdatePressure()
+		if !ok {
+			continue
+		}
+		for to, receiver := range p.services {
+			if to != from && to != (from+1)%p.entries {
+				receiver.ReceivePressure(fmt.Sprint(from), pressure)
+			}
+		}
+	}
+}
+
 // admit has a request arrive at its entry, for the first time or again.
 func (p *play) admit(r *playRequest) {
 	r.attempts++
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -246,6 +246,10 @@
 // assignWaiting assigns queued requests to endpoints, in the order of precedes and
 // then of arrival, until one can't be assigned. The caller must hold s.mu.
 func (s *Service) assignWaiting(now time.Time) {
+	if len(s.waiting) == 0 {
+		// No team is behind another.
+		clear(s.turns)
+	}
 	for len(s.waiting) > 0 {
 		next := 0
 		for i, w := range s.waiting {
@@ -259,6 +263,7 @@
 			return
 		}
 		s.waiting = slices.Delete(s.waiting, next, next+1)
+		s.turns.take(w.request)
 		w.assigned <- assignment
 	}
 }
@@ -281,6 +286,8 @@
 	ClientRetry bool
 	// Resuming is set for a stream that began at another endpoint.
 	Resuming bool
+	// Team is the name of the caller's team, empty if there is none.
+	Team string
 	// PromptTokens is the number of tokens of the prompt, zero if it isn't known.
 	PromptTokens int
 	// MaxWait bounds the time that the request spends in the queue.
@@ -304,7 +311,8 @@
 
 // precedes reports whether req goes before other, which arrived earlier. During the
 // recovery from an outage, requests that can still be answered on time go first. Otherwise
-// those of kinds that are underserved do. The caller must hold s.mu.
+// those of kinds that are underserved do. Teams take turns within a kind. The caller must hold
+// s.mu.
 func (s *Service) precedes(req, other Request, now time.Time) bool {
 	if s.isRecovering(now) && req.isLate() != other.isLate() {
 		return !req.isLate()
@@ -312,7 +320,10 @@
 	if first := s.isUnderserved(req); first != s.isUnderserved(other) {
 		return first && !other.Resuming
 	}
-	return req.normallyPrecedes(other)
+	if req.normallyPrecedes(other) || other.normallyPrecedes(req) {
+		return req.normallyPrecedes(other)
+	}
+	return s.turns.precedes(req, other)
 }
 
 // normallyPrecedes reports whether r goes before other, which arrived earlier, except
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/pkg/level"
 	"github.com/lentilstand/lentilstand/pkg/pick"
 	"github.com/lentilstand/lentilstand/pkg/table"
 )
@@ -182,6 +183,10 @@
 	engine *table.Engine
 	// loadBuffer holds the result of loads.
 	loadBuffer []pick.Load
+	// turns are those of the teams whose requests are queued.
+	turns kindTurns
+	// agreement is the level of admission that the entries agree on.
+	agreement level.Agreement
 	// kinds has the counts of the kinds of request that the entry has got recently.
 	kinds kindCounts
 	// passes predicts the passes of the service's group.
