--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -75,6 +75,7 @@
 		Priority: r.team.Priority(r.route), ClientRetry: e.isClientRetry(r), Tried: r.tried,
 		MaxWait:         r.service.MaxWait(r.route.LatencyTarget()),
 		MaxEndpointWait: r.route.LatencyTarget(),
+		ID:              r.head.ID,
 		Team:            r.team.Name(),
 		PromptTokens:    min(r.head.PromptTokens, maxPromptTokens),
 	}
@@ -93,7 +94,9 @@
 		if wanted.Resuming = r.isResuming(forwarder); wanted.Resuming {
 			wanted.MaxWait = min(sched.RetryQueueWait, time.Until(r.deadline)/2)
 		}
+		queuedAt := time.Now()
 		assignment, err := r.service.Acquire(ctx, wanted)
+		r.queued += time.Since(queuedAt)
 		if err != nil {
 			if r.sendCount == 0 {
 				r.refuseUnassigned(ctx, err)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -31,6 +31,7 @@
 	"github.com/lentilstand/lentilstand/internal/prefs"
 	"github.com/lentilstand/lentilstand/internal/webio"
 	"github.com/lentilstand/lentilstand/pkg/drain"
+	"github.com/lentilstand/lentilstand/pkg/level"
 	"github.com/lentilstand/lentilstand/pkg/mirror"
 	"github.com/lentilstand/lentilstand/pkg/sched"
 	"github.com/lentilstand/lentilstand/pkg/table"
@@ -136,7 +137,8 @@
 	return e, nil
 }
 
-// addPassMetrics adds the metrics of the pass times of groups.
+// addPassMetrics adds the metrics of the pass times of groups and of the admission that
+// depends on them.
 func (e *Entry) addPassMetrics(metrics *meter.Meter) {
 	metrics.Gauge("lentilstand_pass_predicted_microseconds", "Predicted time of the next pass of a service's group with one request more.",
 		"service", func(report func(int64, string)) {
@@ -154,6 +156,25 @@
 				}
 			}
 		})
+	metrics.Gauge("lentilstand_admission_level_thousandths", "Urgency up to which the entries admit requests, in thousandths of a priority.",
+		"service", func(report func(int64, string)) {
+			for _, s := range e.allServices() {
+				if agreed, _, _ := s.Levels(); agreed < level.Open {
+					report(int64(agreed.Thousandths()), s.Name())
+				}
+			}
+		})
+	metrics.Gauge("lentilstand_held_back", "Requests that were held back when they arrived, by cause.", "cause", func(report func(int64, string)) {
+		sums := make(map[sched.HoldCause]int64)
+		for _, s := range e.allServices() {
+			for cause, count := range s.HeldBack() {
+				sums[cause] += count
+			}
+		}
+		for cause, sum := range sums {
+			report(sum, string(cause))
+		}
+	})
 }
 
 // Start opens the listeners and starts to watch the store and serve requests.
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -64,6 +64,8 @@
 	// was interrupted; it is empty if an endpoint's response was forwarded in full.
 	status int
 	reason string
+	// queued is the time that the request has waited for an endpoint.
+	queued time.Duration
 	// firstByte is the time from receivedAt to the first byte of the response.
 	firstByte time.Duration
 }
@@ -224,6 +226,7 @@
 		zap.String("team", r.team.Name()),
 		zap.Uint64("revision", r.view.Revision()),
 		zap.Int64("age_ms", now.Sub(r.view.ConfirmedAt()).Milliseconds()),
+		zap.Int64("queued_ms", r.queued.Milliseconds()),
 		zap.Int64("first_ms", r.firstByte.Milliseconds()),
 		zap.Int64("total_ms", now.Sub(r.receivedAt).Milliseconds()),
 		zap.Strings("attempts", formatAttempts(r.attempts)),
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -45,6 +45,7 @@
 	RequestSuspected = register(2020, "request_suspected", warnLevel, "An endpoint crashed while it held a request, or may have; `crashes` is the number of such endpoints that are known by now, and `finding` what was learned about the last one.")
 	RequestCleared   = register(2021, "request_cleared", infoLevel, "A request at which `crashes` endpoints had crashed ran to completion, so that these crashes don't count any more.")
 	PartCleared      = register(2018, "part_cleared", infoLevel, "Requests with a part of a prompt are no longer refused.")
+	RequestHeldBack  = register(2022, "request_held_back", infoLevel, "A request was queued or refused though an endpoint may have room; `cause` is `level` (the entries admit only more urgent requests), `reserve` (the free slots are kept for those) or `pass` (the predicted pass is too long), and the other fields are the inputs. `left_out` requests were not logged individually.")
 	ClaimUnsettled   = register(2010, "claim_unsettled", warnLevel, "The outcome of a claimed request could not be written to the key-value service.")
 )
 
--- a/pkg/sched/admit.go
+++ b/pkg/sched/admit.go
@@ -147,32 +147,38 @@
 	return more, less
 }
 
-// isHeldBack reports whether a request isn't sent to the group though a rank may have room: in
-// favour of more urgent requests, for whose arrivals slots are kept free, or as the passes
-// would take longer than the gap target. Loads are those of the endpoints, with their expected
-// arrivals. The caller must hold s.mu.
-func (s *Service) isHeldBack(req Request, loads []pick.Load, now time.Time) bool {
+// holdBack returns why a request isn't sent to the group though a rank may have room: in favour
+// of more urgent requests, or as the passes would take longer than the gap target. Loads are
+// those of the endpoints, with their expected arrivals. The caller must hold s.mu.
+func (s *Service) holdBack(req Request, loads []pick.Load, now time.Time) hold {
 	if !s.isModelService || req.Resuming {
-		return false
+		return hold{}
 	}
 	group := s.groupSlots(loads)
 	if group.reporting == 0 {
-		return false
-	}
-	if s.isOverLevel(req, now) {
-		return !s.kinds.isUnderserved(req.kind())
+		return hold{}
 	}
 	more, less := s.kinds.ratesBeside(req.kind(), now)
-	reserve := math.Floor(min(maxReserveShare*group.slots, more*group.entries*reserveTime.Seconds()))
 	share := 1.0
 	if more > 0 {
 		share -= lessUrgentMargin * more / (more + less)
 	}
-	capacity := s.passCapacity(loads, group.slots, share)
-	if reserve == 0 && capacity >= group.slots {
-		return false
+	held := hold{
+		slots: group.slots, capacity: s.passCapacity(loads, group.slots, share), inFlight: group.inFlight,
+		reserve: math.Floor(min(maxReserveShare*group.slots, more*group.entries*reserveTime.Seconds())),
+	}
+	switch {
+	case s.isOverLevel(req, now):
+		held.cause = HeldByLevel
+	case held.capacity < group.slots && group.inFlight+1+held.reserve > held.capacity:
+		held.cause = HeldByPass
+	case held.reserve > 0 && group.inFlight+1+held.reserve > group.slots:
+		held.cause = HeldByReserve
+	}
+	if held.cause == "" || s.kinds.isUnderserved(req.kind()) {
+		return hold{}
 	}
-	return group.inFlight+1+reserve > capacity && !s.kinds.isUnderserved(req.kind())
+	return held
 }
 
 // slotCount is the use of the slots of a service's endpoints, as far as their agents report.
--- a/pkg/sched/admit_test.go
+++ b/pkg/sched/admit_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/lentilstand/lentilstand/pkg/table"
 )
@@ -79,6 +81,40 @@
 	}
 }
 
+// TestHeldBackRequestsSayWhy guards against callers and operators who can't tell a request that was
+// held back from one that found no free slot, and against a log line for each of them.
+func TestHeldBackRequestsSayWhy(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newGroupService(12, 10, 70*time.Millisecond, &now)
+	core, logs := observer.New(zap.InfoLevel)
+	s.logger = zap.New(core)
+	for range 60 {
+		for priority := range 2 {
+			s.kinds.countOffered(Request{Priority: priority}.kind(), now)
+			s.kinds.countSent(Request{Priority: priority}.kind(), now)
+		}
+	}
+	const count = 4 * holdsPerSecond
+	for i := range count {
+		_, _, err := s.Admit(Request{ID: fmt.Sprint("request-", i), Priority: 1})
+		require.ErrorIs(t, err, ErrFull)
+		require.ErrorContains(t, err, "the free slots are kept for more urgent requests")
+	}
+	require.Equal(t, map[HoldCause]int64{HeldByReserve: count}, s.HeldBack())
+	require.Equal(t, holdsPerSecond, logs.Len())
+	now = now.Add(time.Second)
+	report(s, 10, 70*time.Millisecond)
+	_, err := s.Acquire(context.Background(), Request{ID: "queued", Priority: 1, MaxWait: 500 * time.Millisecond})
+	require.ErrorIs(t, err, ErrQueueTimeout)
+	require.ErrorContains(t, err, "the free slots are kept for more urgent requests")
+	fields := logs.All()[holdsPerSecond].ContextMap()
+	require.Equal(t, "queued", fields["request"])
+	require.Equal(t, "reserve", fields["cause"])
+	require.Equal(t, true, fields["queued"])
+	require.Equal(t, 120.0, fields["slots"])
+	require.EqualValues(t, count-holdsPerSecond, fields["left_out"])
+}
+
 // BenchmarkDecision measures the decision on one request. The bounds are 20 us with 63
 // endpoints and 60 us with 860.
 func BenchmarkDecision(b *testing.B) {
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -79,17 +79,23 @@
 			ahead++
 		}
 	}
-	verdict := pick.Full
+	verdict, held := pick.Full, hold{}
 	if ahead == 0 {
 		var assignment Assignment
 		if assignment, verdict = s.assign(req, now); verdict == pick.Chosen {
 			return assignment, nil, nil
 		}
+		held = s.held
 	}
-	if err := s.rejection(req, verdict, ahead, now); err != nil {
+	err := s.rejection(req, verdict, ahead, now)
+	s.recordHold(req, held, err, now)
+	if errors.Is(err, ErrFull) {
+		return Assignment{}, nil, held.withHold(err)
+	}
+	if err != nil {
 		return Assignment{}, nil, err
 	}
-	w := &Waiter{request: req, assigned: make(chan Assignment, 1)}
+	w := &Waiter{request: req, held: held, assigned: make(chan Assignment, 1)}
 	s.waiting = append(s.waiting, w)
 	return Assignment{}, w, nil
 }
@@ -112,7 +118,7 @@
 	case assignment := <-w.assigned:
 		return assignment, nil
 	case <-timer.C:
-		return s.Cancel(w, s.queueTimeoutError(req))
+		return s.Cancel(w, w.held.withHold(s.queueTimeoutError(req)))
 	case <-ctx.Done():
 		assignment, err := s.Cancel(w, ctx.Err())
 		if err == nil {
@@ -270,7 +276,9 @@
 
 // Waiter is a queued request.
 type Waiter struct {
-	request  Request
+	request Request
+	// held is why the request was held back when it arrived, if it was.
+	held     hold
 	assigned chan Assignment
 }
 
@@ -279,6 +287,8 @@
 
 // Request describes a request that is to be assigned to an endpoint.
 type Request struct {
+	// ID identifies the request in logs.
+	ID string
 	// Priority orders queued requests; lower values go first.
 	Priority int
 	// ClientRetry is set if the caller's previous request was rejected. Such callers
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -183,6 +183,10 @@
 	engine *table.Engine
 	// loadBuffer holds the result of loads.
 	loadBuffer []pick.Load
+	// held is why the last call of choose has held its request back, if it has, and holds
+	// counts the requests that were held back when they arrived.
+	held  hold
+	holds holdLog
 	// turns are those of the teams whose requests are queued.
 	turns kindTurns
 	// agreement is the level of admission that the entries agree on.
@@ -333,7 +337,7 @@
 // slotShare returns the share of their slots that endpoints are given requests for. It is
 // below one while passes take longer than passTarget, since each request makes them
 // longer, and streams that aren't on time take all slots, for longer. If the engine's figures
-// are known, isHeldBack takes its place. The caller must hold s.mu.
+// are known, holdBack takes its place. The caller must hold s.mu.
 func (s *Service) slotShare(now time.Time) float64 {
 	if s.passTarget <= 0 || s.passes.estimator != nil {
 		return 1
@@ -417,6 +421,7 @@
 	if s.isModelService {
 		extra = replicaExtra
 	}
+	s.held = hold{}
 	extra = s.limitExtra(extra, req.MaxEndpointWait)
 	if req.Resuming {
 		extra += resumeExtra
@@ -438,7 +443,7 @@
 		}
 	}
 	pick.EstimateArrivals(loads, extra, s.sends.at(now))
-	if s.isHeldBack(req, loads, now) {
+	if s.held = s.holdBack(req, loads, now); s.held.cause != "" {
 		return nil, pick.Full
 	}
 	at, verdict := pick.Choose(loads, extra, s.random.Uint64())
