--- a/pkg/sched/admit.go
+++ b/pkg/sched/admit.go
@@ -182,6 +182,9 @@
 	if held.cause == "" || s.kinds.isUnderserved(req.kind()) {
 		return hold{}
 	}
+	if estimator := s.passes.estimator; estimator != nil {
+		held.predicted = estimator.Predict(estimator.WithOneMore(s.groupLoad(loads)))
+	}
 	return held
 }
 
--- a/pkg/sched/admit_test.go
+++ b/pkg/sched/admit_test.go
@@ -133,6 +133,7 @@
 	require.Equal(t, true, fields["queued"])
 	require.Equal(t, 120.0, fields["slots"])
 	require.EqualValues(t, count-holdsPerSecond, fields["left_out"])
+	require.Greater(t, fields["predicted_pass"], fields["measured_pass"])
 }
 
 // BenchmarkDecision measures the decision on one request. The bounds are 20 us with 63
--- a/pkg/sched/held.go
+++ b/pkg/sched/held.go
@@ -37,6 +37,8 @@
 	slots, capacity float64
 	// inFlight is the estimated number of requests there, and reserve how many slots are kept.
 	inFlight, reserve float64
+	// predicted is the predicted pass time with the request, zero if it isn't known.
+	predicted time.Duration
 }
 
 // heldError is the error of a request that was held back.
@@ -97,16 +99,16 @@
 	if held.cause == "" || !s.holds.count(held.cause, now) {
 		return
 	}
-	predicted, measured := time.Duration(0), time.Duration(0)
-	if estimator := s.passes.estimator; estimator != nil {
-		predicted, measured = estimator.Predict(estimator.WithOneMore(s.groupLoad(s.loadBuffer))), estimator.Measured()
+	measured := time.Duration(0)
+	if s.passes.estimator != nil {
+		measured = s.passes.estimator.Measured()
 	}
 	event.RequestHeldBack.Log(s.logger, zap.String("request", req.ID), zap.String("service", s.name),
 		zap.String("cause", string(held.cause)), zap.Int("priority", req.Priority), zap.Bool("retry", req.ClientRetry),
 		zap.Bool("queued", refused == nil), zap.Int("waiting", len(s.waiting)), zap.Duration("max_wait", req.MaxWait),
 		zap.Float64("slots", held.slots), zap.Float64("capacity", held.capacity), zap.Float64("in_flight", held.inFlight),
 		zap.Float64("reserve", held.reserve), zap.Float64("level", float64(s.agreement.Level())),
-		zap.Int("heard", s.agreement.Heard()), zap.Duration("predicted_pass", predicted), zap.Duration("measured_pass", measured),
+		zap.Int("heard", s.agreement.Heard()), zap.Duration("predicted_pass", held.predicted), zap.Duration("measured_pass", measured),
 		zap.Int("left_out", s.holds.omitted))
 	s.holds.omitted = 0
 }
