--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -36,6 +36,9 @@
 	// leastUrgentPriority is the highest value of the endpoints' priority header; 0 is the
 	// most urgent.
 	leastUrgentPriority = 9
+	// maxPromptTokens bounds the number of prompt tokens that a caller states, so that a
+	// wrong one doesn't hold up other callers. No engine has a longer context.
+	maxPromptTokens = 1 << 20
 )
 
 // attemptResult is how an attempt ended.
@@ -70,8 +73,11 @@
 	e.budget.addRequest(r.service.Name(), r.receivedAt, limits)
 	wanted := sched.Request{
 		Priority: r.team.Priority(r.route), ClientRetry: e.isClientRetry(r), Tried: r.tried,
-		MaxWait:         time.Duration(float64(r.route.LatencyTarget()) * sched.QueueWaitShare),
+		MaxWait:         r.service.MaxWait(r.route.LatencyTarget()),
 		MaxEndpointWait: r.route.LatencyTarget(),
+		ID:              r.head.ID,
+		Team:            r.team.Name(),
+		PromptTokens:    min(r.head.PromptTokens, maxPromptTokens),
 	}
 	if wanted.ClientRetry {
 		wanted.MaxWait = min(sched.RetryQueueWait, time.Until(r.deadline)/2)
@@ -88,7 +94,9 @@
 		if wanted.Resuming = r.isResuming(forwarder); wanted.Resuming {
 			wanted.MaxWait = min(sched.RetryQueueWait, time.Until(r.deadline)/2)
 		}
+		queuedAt := time.Now()
 		assignment, err := r.service.Acquire(ctx, wanted)
+		r.queued += time.Since(queuedAt)
 		if err != nil {
 			if r.sendCount == 0 {
 				r.refuseUnassigned(ctx, err)
@@ -316,6 +324,9 @@
 		return failed, nil, "response without a seal header"
 	}
 	if success && r.route.Semantics() == table.Stream {
+		if !r.isResuming(forwarder) {
+			forwarder.begun = func() { r.service.RecordFirstEvent(assignment) }
+		}
 		return forwarder.forward(ctx, response, progress)
 	}
 	if forwarder.stream != nil {
@@ -416,6 +427,9 @@
 	stream  *webio.Stream
 	// lastEventID is the id of the last event that was sent to the caller.
 	lastEventID string
+	// begun is called at the first event of a stream that begins in this attempt, nil for
+	// others.
+	begun func()
 }
 
 // forward forwards the events of one attempt. The response header is sent with the
@@ -459,6 +473,9 @@
 func (f *streamForwarder) start(response *conns.Response) error {
 	r := f.request
 	r.status, r.firstByte = response.Status, time.Since(r.receivedAt)
+	if f.begun != nil {
+		f.begun()
+	}
 	stream, err := r.exchange.StartKeepAliveStream(response.Status, platform.ForwardedHeader(response.Header))
 	if err != nil {
 		r.reason = "the caller has gone"
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -278,6 +278,8 @@
 		Starting: p.isStarting(),
 		Leaving:  p.entry.leaving.Load(),
 		Limits:   encodeLimits(p.entry.allServices()),
+
+		Pressures: encodePressures(p.entry.allServices()),
 	}
 	p.mu.Lock()
 	p.relay.writeTo(hello, time.Now())
@@ -448,6 +450,7 @@
 			s.MergeLimits(limits)
 		}
 	}
+	p.receivePressures(hello.GetName(), hello.GetPressures())
 	if hello.GetStarting() {
 		p.sendSuspects(from)
 	}
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -70,23 +70,32 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	if !req.Resuming {
+		s.kinds.countOffered(req.kind(), now)
+	}
 	ahead := 0
 	for _, w := range s.waiting {
 		if !s.precedes(req, w.request, now) {
 			ahead++
 		}
 	}
-	verdict := pick.Full
+	verdict, held := pick.Full, hold{}
 	if ahead == 0 {
 		var assignment Assignment
 		if assignment, verdict = s.assign(req, now); verdict == pick.Chosen {
 			return assignment, nil, nil
 		}
+		held = s.held
+	}
+	err := s.rejection(req, verdict, ahead, now)
+	s.recordHold(req, held, err, now)
+	if errors.Is(err, ErrFull) {
+		return Assignment{}, nil, held.withHold(err)
 	}
-	if err := s.rejection(req, verdict, ahead, now); err != nil {
+	if err != nil {
 		return Assignment{}, nil, err
 	}
-	w := &Waiter{request: req, assigned: make(chan Assignment, 1)}
+	w := &Waiter{request: req, held: held, assigned: make(chan Assignment, 1)}
 	s.waiting = append(s.waiting, w)
 	return Assignment{}, w, nil
 }
@@ -109,7 +118,7 @@
 	case assignment := <-w.assigned:
 		return assignment, nil
 	case <-timer.C:
-		return s.Cancel(w, s.queueTimeoutError(req))
+		return s.Cancel(w, w.held.withHold(s.queueTimeoutError(req)))
 	case <-ctx.Done():
 		assignment, err := s.Cancel(w, ctx.Err())
 		if err == nil {
@@ -182,7 +191,7 @@
 		freedSlots = lateSlotShare * s.slotsPerEntry()
 		maxWait -= max(0, expectedEnd.Sub(now))
 	}
-	if freedSlots+s.completionRate(now)*maxWait.Seconds() < float64(ahead+1) {
+	if freedSlots+s.rateLeft(req, now)*maxWait.Seconds() < float64(ahead+1) {
 		return ErrFull
 	}
 	return nil
@@ -247,6 +256,10 @@
 // assignWaiting assigns queued requests to endpoints, in the order of precedes and
 // then of arrival, until one can't be assigned. The caller must hold s.mu.
 func (s *Service) assignWaiting(now time.Time) {
+	if len(s.waiting) == 0 {
+		// No team is behind another.
+		clear(s.turns)
+	}
 	for len(s.waiting) > 0 {
 		next := 0
 		for i, w := range s.waiting {
@@ -260,13 +273,16 @@
 			return
 		}
 		s.waiting = slices.Delete(s.waiting, next, next+1)
+		s.turns.take(w.request)
 		w.assigned <- assignment
 	}
 }
 
 // Waiter is a queued request.
 type Waiter struct {
-	request  Request
+	request Request
+	// held is why the request was held back when it arrived, if it was.
+	held     hold
 	assigned chan Assignment
 }
 
@@ -275,6 +291,8 @@
 
 // Request describes a request that is to be assigned to an endpoint.
 type Request struct {
+	// ID identifies the request in logs.
+	ID string
 	// Priority orders queued requests; lower values go first.
 	Priority int
 	// ClientRetry is set if the caller's previous request was rejected. Such callers
@@ -282,6 +300,10 @@
 	ClientRetry bool
 	// Resuming is set for a stream that began at another endpoint.
 	Resuming bool
+	// Team is the name of the caller's team, empty if there is none.
+	Team string
+	// PromptTokens is the number of tokens of the prompt, zero if it isn't known.
+	PromptTokens int
 	// MaxWait bounds the time that the request spends in the queue.
 	MaxWait time.Duration
 	// MaxEndpointWait bounds the time for which the request is expected to wait for a slot
@@ -302,17 +324,26 @@
 }
 
 // precedes reports whether req goes before other, which arrived earlier. During the
-// recovery from an outage, requests that can still be answered on time go first. The
-// caller must hold s.mu.
+// recovery from an outage, requests that can still be answered on time go first. Otherwise
+// those of kinds that are underserved do. Teams take turns within a kind. The caller must hold
+// s.mu.
 func (s *Service) precedes(req, other Request, now time.Time) bool {
 	if s.isRecovering(now) && req.isLate() != other.isLate() {
 		return !req.isLate()
 	}
-	return req.normallyPrecedes(other)
+	if first := s.isUnderserved(req); first != s.isUnderserved(other) {
+		return first && !other.Resuming
+	}
+	if req.normallyPrecedes(other) || other.normallyPrecedes(req) {
+		return req.normallyPrecedes(other)
+	}
+	return s.turns.precedes(req, other)
 }
 
 // normallyPrecedes reports whether r goes before other, which arrived earlier, except
-// during the recovery from an outage.
+// during the recovery from an outage. At equal priority, requests that can still be on time
+// go before those that can't: a late response has less value, and one that waits for a late
+// one becomes late as well.
 func (r Request) normallyPrecedes(other Request) bool {
 	if r.Resuming != other.Resuming {
 		return r.Resuming
@@ -320,5 +351,5 @@
 	if r.Priority != other.Priority {
 		return r.Priority < other.Priority
 	}
-	return r.ClientRetry && !other.ClientRetry
+	return !r.isLate() && other.isLate()
 }
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/pkg/pace"
+	"github.com/lentilstand/lentilstand/pkg/level"
 	"github.com/lentilstand/lentilstand/pkg/pick"
 	"github.com/lentilstand/lentilstand/pkg/table"
 )
@@ -50,7 +51,7 @@
 	// three reports are missed.
 	stalledAgentTimeout = 300 * time.Millisecond
 	// QueueWaitShare is the share of a route's latency target that a request may spend
-	// in the queue.
+	// in the queue in any case.
 	QueueWaitShare = 0.25
 	// defaultOutage is the expected length of an outage before the service has had
 	// one. Ranks restart and form a group in about that time.
@@ -176,6 +177,25 @@
 	outageStart, outageEnd time.Time
 	// meanOutage is the moving average of the length of outages, zero before the first.
 	meanOutage time.Duration
+	// gapTarget is the longest gap between events at which streams are on time, zero if the
+	// service has none.
+	gapTarget time.Duration
+	// engine has the figures of the service's model replicas; nil for a plain service.
+	engine *table.Engine
+	// held is why the last call of choose has held its request back, if it has, and holds
+	// counts the requests that were held back when they arrived.
+	held  hold
+	holds holdLog
+	// turns are those of the teams whose requests are queued.
+	turns kindTurns
+	// agreement is the level of admission that the entries agree on.
+	agreement level.Agreement
+	// kinds has the counts of the kinds of request that the entry has got recently.
+	kinds kindCounts
+	// passes predicts the passes of the service's group.
+	passes passTracker
+	// firstEvents has the recent times from the assignment of a stream to its first event.
+	firstEvents latency
 	// passTarget is the mean interval between passes up to which streams are on time, zero
 	// if the service has none.
 	passTarget time.Duration
@@ -321,15 +341,17 @@
 func (s *Service) SetGapTarget(target time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.gapTarget = target
+	s.passes.configure(s.engine, target)
 	s.passTarget = time.Duration(passTargetShare * float64(target))
 }
 
 // slotShare returns the share of their slots that endpoints are given requests for. It is
 // below one while passes take longer than passTarget, since each request makes them
-// longer, and streams that aren't on time take all slots, for longer. The caller must hold
-// s.mu.
+// longer, and streams that aren't on time take all slots, for longer. If the engine's figures
+// are known, holdBack takes its place. The caller must hold s.mu.
 func (s *Service) slotShare(now time.Time) float64 {
-	if s.passTarget <= 0 {
+	if s.passTarget <= 0 || s.passes.estimator != nil {
 		return 1
 	}
 	var sum time.Duration
@@ -443,6 +465,7 @@
 	if s.isModelService {
 		extra = replicaExtra
 	}
+	s.held = hold{}
 	extra = s.limitExtra(extra, req.MaxEndpointWait)
 	if req.Resuming {
 		extra += resumeExtra
@@ -464,6 +487,9 @@
 		}
 	}
 	pick.EstimateArrivals(loads, extra, s.sends.at(now))
+	if s.held = s.holdBack(req, loads, now); s.held.cause != "" {
+		return nil, pick.Full
+	}
 	at, verdict := pick.Choose(loads, extra, s.random.Uint64())
 	if verdict != pick.Chosen {
 		return nil, verdict
@@ -505,6 +531,10 @@
 		return Assignment{}, verdict
 	}
 	e.own++
+	s.countPrompt(e, req.PromptTokens)
+	if !req.Resuming {
+		s.kinds.countSent(req.kind(), now)
+	}
 	e.takeFromLimit(now)
 	e.ramp.RecordSend(now)
 	s.sends.add(now)
@@ -684,6 +714,8 @@
 		}
 		e.notAccepting = !report.Accepting
 		e.pace, e.passInterval = max(1, report.Pace), report.PassInterval
+		e.reportedWaiting, e.sentTokens = report.Waiting, 0
+		s.observePasses(now)
 		s.assignWaiting(now)
 		return true
 	}
