--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -153,12 +153,13 @@
 	if !r.IsActive() {
 		return time.Time{}
 	}
-	interval := r.interval(1)
+	interval, phase := r.interval(1), r.phase
 	if relaxed {
-		interval = r.interval(relaxedFactor)
+		// Other endpoints aren't free, so requests already arrive at the entries apart.
+		interval, phase = r.interval(relaxedFactor), r.phase/relaxedFactor
 	}
 	if r.lastSend.IsZero() {
-		return r.startedAt.Add(time.Duration(r.phase * float64(interval)))
+		return r.startedAt.Add(time.Duration(phase * float64(interval)))
 	}
 	return r.lastSend.Add(interval)
 }
