--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -258,6 +258,7 @@
 	engine := configured != nil && configured.Engine() != nil
 	if t := view.Table(); engine {
 		s.SetGapTarget(t.MinGapTarget(s.Name()))
+		s.SetGroupEngine(configured.Engine())
 	}
 	s.Update(view.Endpoints(s.Name()), engine, view.Evacuated, view.Revision())
 }
--- /dev/null
+++ b/pkg/sched/group.go
@@ -0,0 +1,96 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/lentilstand/lentilstand/pkg/table"
+)
+
+// groupLoad is the load of all endpoints of a model service, from the fresh reports of the
+// agents that this entry knows, scaled to the number of the service's endpoints. The zero
+// value means that it is unknown.
+type groupLoad struct {
+	// endpoints is the number of endpoints that take requests.
+	endpoints float64
+	// running is the number of requests that run, and own those of this entry.
+	running, own float64
+	// interval is the mean interval between passes, zero if no agent reports passes.
+	interval time.Duration
+}
+
+// SetGroupEngine sets the performance of the service's model replicas, nil for a plain service.
+func (s *Service) SetGroupEngine(engine *table.Engine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engine = engine
+}
+
+// groupLoad returns the load of the service's endpoints. The caller must hold s.mu.
+func (s *Service) groupLoad(now time.Time) groupLoad {
+	var load groupLoad
+	var intervals time.Duration
+	endpoints, reports, passes := 0, 0, 0
+	for _, e := range s.endpoints {
+		if e.draining || s.evacuated[e.spec.DataCentre()] {
+			continue
+		}
+		endpoints++
+		if !e.hasFreshReport(now) {
+			continue
+		}
+		reports++
+		running := max(e.own, e.reported+e.own-e.ownAtReport)
+		if e.slots > 0 {
+			running = min(running, e.slots)
+		}
+		load.running += float64(running)
+		load.own += float64(e.own)
+		if e.passInterval > 0 {
+			passes++
+			intervals += e.passInterval
+		}
+	}
+	if reports == 0 {
+		return groupLoad{}
+	}
+	scale := float64(endpoints) / float64(reports)
+	load.endpoints = float64(endpoints)
+	load.running *= scale
+	if passes > 0 {
+		load.interval = intervals / time.Duration(passes)
+	}
+	return load
+}
+
+// completionsPerSecond returns how many of the running requests complete per second if a
+// response has meanEvents events, one in each pass after the one that reads the prompt.
+func (l groupLoad) completionsPerSecond(meanEvents float64) float64 {
+	if l.interval <= 0 || meanEvents <= 0 {
+		return 0
+	}
+	return l.running / ((meanEvents + 1) * l.interval.Seconds())
+}
+
+// ownShare returns an entry's share of the slots that become free. Half of it is its share of
+// the running requests, as a request that waits here mostly gets the slot of one that completes
+// here, and half is the same for all entries, as an entry has too few requests for an exact
+// share. The shares of all entries add up to one.
+func (l groupLoad) ownShare(entries int) float64 {
+	equal := 1 / float64(max(1, entries))
+	if l.running <= 0 {
+		return equal
+	}
+	return (min(1, l.own/l.running) + equal) / 2
+}
+
+// reportedRate returns how many of this entry's requests are expected to complete per second
+// by the agents' reports, and false for a plain service and while no agent reports passes. The
+// caller must hold s.mu.
+func (s *Service) reportedRate(now time.Time) (perSecond float64, known bool) {
+	if !s.isModelService || s.engine == nil || s.engine.Stride <= 0 {
+		return 0, false
+	}
+	load := s.groupLoad(now)
+	perSecond = load.completionsPerSecond(float64(s.engine.MeanOutputTokens) / float64(s.engine.Stride))
+	return perSecond * load.ownShare(1+s.otherEntries()), perSecond > 0
+}
--- a/pkg/sched/outage.go
+++ b/pkg/sched/outage.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -76,11 +77,23 @@
 	return shortest
 }
 
-// completionRate returns how many of this entry's requests are expected to complete
-// per second. It is the recent rate, but at least the rate at which this entry's share
-// of the slots becomes free if all slots are in use. The caller must hold s.mu.
+// completionRate returns how many of this entry's requests are expected to complete per
+// second: by the agents' reports if there are any. Otherwise it is the recent rate, but at
+// least the rate at which this entry's share of the slots becomes free if all slots are in
+// use. That is also the least while endpoints are cold, as slots are free then and wait for
+// the limit of cold endpoints, and during the recovery from an outage, as passes become
+// shorter with the next expert map. The caller must hold s.mu.
 func (s *Service) completionRate(now time.Time) float64 {
-	return max(s.completions.at(now), s.slotsPerEntry()/typicalRequestTime.Seconds())
+	ifBusy := s.slotsPerEntry() / typicalRequestTime.Seconds()
+	reported, known := s.reportedRate(now)
+	switch {
+	case !known:
+		return max(s.completions.at(now), ifBusy)
+	case s.isRecovering(now) || slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.isCold(now) }):
+		return max(reported, ifBusy)
+	default:
+		return reported
+	}
 }
 
 // isRecovering reports whether the service has model replicas and its last outage ended
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -154,9 +154,11 @@
 	random *rand.Rand
 	// isModelService is set if the endpoints are model replicas.
 	isModelService bool
-	endpoints      []*endpoint
-	evacuated      map[string]bool
-	subset         subsetState
+	// engine describes the model replicas, nil for a plain service.
+	engine    *table.Engine
+	endpoints []*endpoint
+	evacuated map[string]bool
+	subset    subsetState
 	// waiting is the queue, in order of arrival.
 	waiting []*Waiter
 	// completions and sends are the rates at which this entry's requests end, with any
