--- a/pkg/sched/group.go
+++ b/pkg/sched/group.go
@@ -12,8 +12,9 @@
 type groupLoad struct {
 	// endpoints is the number of endpoints that take requests.
 	endpoints float64
-	// running is the number of requests that run, and own those of this entry.
-	running, own float64
+	// held is the number of requests that the endpoints have, running the number of those
+	// that run, and own that of this entry's.
+	held, running, own float64
 	// interval is the mean interval between passes, zero if no agent reports passes.
 	interval time.Duration
 }
@@ -40,6 +41,7 @@
 		}
 		reports++
 		running := max(e.own, e.reported+e.own-e.ownAtReport)
+		load.held += float64(running)
 		if e.slots > 0 {
 			running = min(running, e.slots)
 		}
@@ -55,6 +57,7 @@
 	}
 	scale := float64(endpoints) / float64(reports)
 	load.endpoints = float64(endpoints)
+	load.held *= scale
 	load.running *= scale
 	if passes > 0 {
 		load.interval = intervals / time.Duration(passes)
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -75,15 +75,16 @@
 	// prefill, and requests that arrive later would fail. At usual load half of the
 	// slots are free, so the requests of an outage can be served within about its length.
 	outageRetrySpread = 2500 * time.Millisecond
-	// recoveryWindow is how long after an outage a model service is slower than usual.
-	// Its ranks start with the initial expert map, and balance their load by two
-	// switches of 0.6 s to 1.2 s. When all retries were served at once, passes took
-	// 1.5 times as long, and events of all streams were late.
-	recoveryWindow = 2 * time.Second
-	// lateSlotShare is the share of its slots that a model replica gives to late
-	// requests during recoveryWindow. At 0.3 and 0.4 more late requests failed than at
-	// 0.6, and at 1 no request was answered on time.
-	lateSlotShare = 0.6
+	// recoveryWindow is how long after an outage a model service is busier than usual. Its
+	// ranks start with the initial expert map, and balance their load by two switches.
+	// Callers that were rejected come back for outageRetrySpread, and wait for up to
+	// RetryQueueWait. When all retries were served at once, passes took 1.5 times as long,
+	// and events of all streams were late; with a window of 2 s that began after it.
+	recoveryWindow = outageRetrySpread + RetryQueueWait
+	// lateSlotShare is the share of its slots that a model replica gives to late requests
+	// during recoveryWindow. In a simulation, more late requests were lost at 0.6 and 0.7, and
+	// fewer new ones were on time at 0.9; at 1 none was on time on the whole system.
+	lateSlotShare = 0.8
 	// minRetryAfter is the minimum time after which a rejected caller may retry.
 	minRetryAfter = 300 * time.Millisecond
 )
@@ -182,6 +183,8 @@
 	passTarget time.Duration
 	// hasServed is set once an endpoint has answered since the entry started.
 	hasServed bool
+	// passFactor is what was learned about passes since the last outage.
+	passFactor passFactor
 }
 
 // Option configures a Service.
@@ -413,8 +416,8 @@
 	}
 	if req.isLate() && s.isRecovering(now) {
 		extra = 0
-		for i := range loads {
-			loads[i].Slots = int(math.Ceil(lateSlotShare * float64(loads[i].Slots)))
+		if !s.limitLate(req, loads, now) {
+			return nil, pick.Full
 		}
 	}
 	pick.EstimateArrivals(loads, extra, s.sends.at(now))
