--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -67,9 +67,10 @@
 func (r *request) run(ctx context.Context) {
 	e := r.entry
 	limits := r.retryLimits()
+	r.isRetry = e.isClientRetry(r)
 	e.budget.addRequest(r.service.Name(), r.receivedAt, limits)
 	wanted := sched.Request{
-		Priority: r.team.Priority(r.route), ClientRetry: e.isClientRetry(r), Tried: r.tried,
+		Priority: r.team.Priority(r.route), ClientRetry: r.isRetry, Tried: r.tried,
 		MaxWait:         time.Duration(float64(r.route.LatencyTarget()) * sched.QueueWaitShare),
 		MaxEndpointWait: r.route.LatencyTarget(),
 	}
@@ -205,6 +206,11 @@
 	return retryLimits{ratio: ratio, extra: extra, window: window, members: len(r.view.Members())}
 }
 
+// caller describes the request's caller, to whom it is told when to retry.
+func (r *request) caller() sched.Caller {
+	return sched.Caller{Key: r.fingerprint, Priority: r.team.Priority(r.route), TimeLeft: time.Until(r.deadline), HasRetried: r.isRetry}
+}
+
 // refuseUnassigned refuses a request to which no endpoint was assigned.
 func (r *request) refuseUnassigned(ctx context.Context, cause error) {
 	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
@@ -212,7 +218,7 @@
 		r.exchange.Abort()
 		return
 	}
-	r.refuse(&refusal{http.StatusServiceUnavailable, cause.Error(), r.service.RetryAfter(cause)})
+	r.refuse(&refusal{http.StatusServiceUnavailable, cause.Error(), r.service.RetryAfter(cause, r.caller())})
 }
 
 // fail ends a request whose last attempt did not finish it.
@@ -228,7 +234,7 @@
 	case errorResponse != nil:
 		r.respond(errorResponse.status, "the endpoint returned an error", errorResponse.header, errorResponse.body)
 	case !r.mayHaveRun:
-		r.refuse(&refusal{http.StatusServiceUnavailable, "no endpoint accepted the request", r.service.RetryAfter(sched.ErrNoEndpoint)})
+		r.refuse(&refusal{http.StatusServiceUnavailable, "no endpoint accepted the request", r.service.RetryAfter(sched.ErrNoEndpoint, r.caller())})
 	case ctx.Err() != nil:
 		r.refuse(&refusal{status: http.StatusGatewayTimeout, reason: "timed out waiting for the endpoint; the request may have run"})
 	default:
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -45,6 +45,8 @@
 	probe      time.Time
 	receivedAt time.Time
 	deadline   time.Time
+	// isRetry is set if the caller's previous request seems to have been refused.
+	isRetry bool
 
 	attempts []attempt
 	// tried holds the ids of the endpoints to which the request was assigned.
--- a/pkg/sched/limit_test.go
+++ b/pkg/sched/limit_test.go
@@ -166,7 +166,7 @@
 	require.Nil(t, w)
 	require.ErrorIs(t, err, ErrLimited)
 	require.Regexp(t, "the first to take one is [01]$", err.Error())
-	retryAfter := s.RetryAfter(err)
+	retryAfter := s.RetryAfter(err, Caller{})
 	require.GreaterOrEqual(t, retryAfter, 2*time.Second, "each entry may send a request to each endpoint every two seconds")
 	require.Less(t, retryAfter, 4*time.Second)
 	now = now.Add(1950 * time.Millisecond)
--- a/pkg/sched/outage.go
+++ b/pkg/sched/outage.go
@@ -36,9 +36,9 @@
 
 // RetryAfter returns how long a caller whose request was rejected with cause should
 // wait before it retries. That is until an endpoint takes requests again if all have asked
-// for a pause or have a limit, and during an outage until the outage is expected to
-// end, with jitter, so that the callers don't all retry at once.
-func (s *Service) RetryAfter(cause error) time.Duration {
+// for a pause or have a limit. Otherwise it is a time at which this entry expects a free slot
+// that it hasn't told another caller, during an outage after its expected end.
+func (s *Service) RetryAfter(cause error, caller Caller) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -52,10 +52,11 @@
 			return max(minRetryAfter, wait) + s.randomBelow(max(minRetryAfter, time.Duration(float64(time.Second)/perSecond)))
 		}
 	}
+	earliest := minRetryAfter
 	if errors.Is(cause, ErrNoEndpoint) && !s.outageStart.IsZero() {
-		return max(minRetryAfter, s.expectedOutage()-now.Sub(s.outageStart)) + s.randomBelow(outageRetrySpread)
+		earliest = max(earliest, s.expectedOutage()-now.Sub(s.outageStart))
 	}
-	return minRetryAfter + s.randomBelow(minRetryAfter)
+	return s.bookedWait(caller, earliest, outageRetrySpread, now)
 }
 
 // commonPause returns the time until the first endpoint takes requests again, if all that
--- a/pkg/sched/outage_test.go
+++ b/pkg/sched/outage_test.go
@@ -18,8 +18,10 @@
 	playStep = 2 * time.Millisecond
 	// playOpen is when the group opens after an outage that begins at playCut.
 	playCut, playOpen, playEnd = 2 * time.Second, 4 * time.Second, 9 * time.Second
-	playTimeLimit              = 8 * time.Second
-	playGapTarget              = 120 * time.Millisecond
+	// playLoadEnd is when the load that begins at playCut in place of an outage ends.
+	playLoadEnd   = 7 * time.Second
+	playTimeLimit = 8 * time.Second
+	playGapTarget = 120 * time.Millisecond
 )
 
 // playKinds are the kinds of requests of an outagePlay, with their rate for each rank.
@@ -31,6 +33,8 @@
 // playCaller is a caller that retries once, after the time that it was told.
 type playCaller struct {
 	kind, entry, rank      int
+	key                    uint64
+	repeats                int
 	arrived, next          time.Time
 	retried                bool
 	waiter                 *Waiter
@@ -68,12 +72,17 @@
 	noReports bool
 	// noMembers is set if no entry knows of others.
 	noMembers bool
+	// load multiplies the rate of requests from playCut to playLoadEnd, if there is no outage;
+	// zero for an outage.
+	load float64
+	// impatient is the share of callers that first repeat a refused request at once, three times.
+	impatient float64
 	// died is the number of entries that have died, whose callers use others.
 	died int
 }
 
 func (p *outagePlay) at() time.Duration { return p.now.Sub(p.start) }
-func (p *outagePlay) isOpen() bool      { return p.at() < playCut || p.at() >= playOpen }
+func (p *outagePlay) isOpen() bool      { return p.load > 0 || p.at() < playCut || p.at() >= playOpen }
 
 func newOutagePlay(seed uint64, entries, ranks int) *outagePlay {
 	p := &outagePlay{
@@ -112,8 +121,12 @@
 func (p *outagePlay) run() {
 	for tick := 0; p.at() < playEnd+playTimeLimit; tick++ {
 		p.now = p.now.Add(playStep)
+		load := 1.0
+		if p.load > 0 && p.at() >= playCut && p.at() < playLoadEnd {
+			load = p.load
+		}
 		for kind, k := range playKinds {
-			if p.at() < playEnd && p.arrivals.Float64() < k.perRank*float64(len(p.ranks))*playStep.Seconds() {
+			if p.at() < playEnd && p.arrivals.Float64() < load*k.perRank*float64(len(p.ranks))*playStep.Seconds() {
 				p.callers = append(p.callers, &playCaller{kind: kind, entry: p.arrivals.IntN(len(p.entries) - p.died), arrived: p.now, next: p.now})
 			}
 		}
@@ -122,7 +135,7 @@
 				p.entries[i] = p.newEntry(len(p.entries))
 			}
 		}
-		if p.at() == playCut {
+		if p.at() == playCut && p.load == 0 {
 			p.cut()
 		}
 		p.runPass()
@@ -214,10 +227,26 @@
 		c.lost = true
 		return
 	}
-	p.longestFirst = max(p.longestFirst, p.now.Sub(c.arrived)-time.Duration(float64(playKinds[c.kind].target)*QueueWaitShare))
+	if c.key == 0 {
+		p.longestFirst = max(p.longestFirst, p.now.Sub(c.arrived)-time.Duration(float64(playKinds[c.kind].target)*QueueWaitShare))
+	}
 	left := playTimeLimit - p.now.Sub(c.arrived)
+	if c.key == 0 {
+		c.key = p.random.Uint64()
+		if p.random.Float64() < p.impatient {
+			c.repeats = 3
+		}
+	}
+	refusedBy := c.entry
+	if c.repeats > 0 {
+		c.repeats--
+		p.entries[c.entry].RetryAfter(cause, Caller{Key: c.key, Priority: c.kind, TimeLeft: left})
+		c.entry, c.next = p.random.IntN(len(p.entries)-p.died), p.now.Add(10*time.Millisecond)
+		return
+	}
 	c.retried, c.entry = true, p.random.IntN(len(p.entries)-p.died)
-	c.next = p.now.Add(min(left/3, p.entries[c.entry].RetryAfter(cause)))
+	caller := Caller{Key: c.key, Priority: c.kind, TimeLeft: left}
+	c.next = p.now.Add(min(left/3, p.entries[refusedBy].RetryAfter(cause, caller)))
 }
 
 // runPass ends the pass in progress if its time has come, and begins the next one.
@@ -268,7 +297,7 @@
 		return
 	}
 	skew := 1.3
-	if since := p.at() - playOpen; since > 0 {
+	if since := p.at() - playOpen; since > 0 && p.load == 0 {
 		skew = max(1.3, 2.8-1.5*since.Seconds())
 	}
 	seconds := skew * (float64(testEngine.Stride)*testEngine.Step.Seconds() + (1-testEngine.ExpertShare)*longest +
@@ -377,6 +406,23 @@
 	}
 }
 
+// TestOverloadIsSpread guards against callers that are sent back into the overload in which they
+// were refused, also if some repeat refused requests at once. When they were told to come back after 300 to 600 ms, 1,156 and 1,145 of 2,357 were on time, and 6 and 5 lost.
+func TestOverloadIsSpread(t *testing.T) {
+	for _, impatient := range []float64{0, 0.3} {
+		var during playCounts
+		for seed := range uint64(6) {
+			p := newOutagePlay(seed, 6, 12)
+			p.load, p.impatient = 1.7, impatient
+			p.run()
+			during = during.plus(p.count(playCut, playLoadEnd))
+		}
+		t.Log("impatient", impatient, during)
+		require.Greater(t, during.onTime, 1200)
+		require.Less(t, during.lost, 5)
+	}
+}
+
 // TestOutageWithoutPeersOrReports guards against callers who are refused, or lost in an overload,
 // after an outage in which the entries know less than usual.
 func TestOutageWithoutPeersOrReports(t *testing.T) {
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -17,6 +17,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	if !req.isLate() {
+		s.arrivals.add(now)
+	}
 	ahead := 0
 	for _, w := range s.waiting {
 		if !s.precedes(req, w.request, now) {
--- a/pkg/sched/queue_test.go
+++ b/pkg/sched/queue_test.go
@@ -106,8 +106,8 @@
 			_, err := s.Acquire(context.Background(), Request{})
 			require.ErrorIs(t, err, ErrNoEndpoint)
 			shortest, longest := time.Hour, time.Duration(0)
-			for range 400 {
-				wait := s.RetryAfter(err)
+			for caller := range uint64(400) {
+				wait := s.RetryAfter(err, Caller{Key: caller})
 				shortest, longest = min(shortest, wait), max(longest, wait)
 			}
 			require.Greater(t, shortest, tc.outage-100*time.Millisecond, "retry before the outage ends")
@@ -223,7 +223,7 @@
 	_, waiter, err := s.Admit(request)
 	require.ErrorIs(t, err, ErrPaused)
 	require.Nil(t, waiter)
-	require.InDelta(t, 2.0, s.RetryAfter(err).Seconds(), 0.6)
+	require.InDelta(t, 2.0, s.RetryAfter(err, Caller{}).Seconds(), 0.6)
 	now = now.Add(1700 * time.Millisecond)
 	_, waiter, err = s.Admit(request)
 	require.NoError(t, err)
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/pkg/book"
 	"github.com/lentilstand/lentilstand/pkg/pick"
 	"github.com/lentilstand/lentilstand/pkg/table"
 )
@@ -183,6 +184,10 @@
 	passTarget time.Duration
 	// hasServed is set once an endpoint has answered since the entry started.
 	hasServed bool
+	// arrivals is the rate of new requests.
+	arrivals arrivalRate
+	// bookings are the times at which callers of refused requests were told to retry.
+	bookings book.Book
 	// passFactor is what was learned about passes since the last outage.
 	passFactor passFactor
 }
