--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -12,6 +12,7 @@
 
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/wirepb"
+	"github.com/lentilstand/lentilstand/pkg/blame"
 )
 
 // Limits of the crash tracker.
@@ -20,6 +21,10 @@
 	// while they hold a request before it is blocked. A crash alone doesn't tell which of
 	// the endpoint's requests caused it.
 	blockThreshold = 3
+	// explainThreshold is the number of crashes from which a request that endpoints hadn't begun to
+	// answer is taken for their cause, so that parts of other requests there aren't. A sound
+	// request is rarely at two of them: it is sent to one of many endpoints after the first.
+	explainThreshold = 2
 	// suspectTTL is how long a request stays suspect, or blocked if it has blockThreshold
 	// crashes, after the last crash. The time doubles with each further crash, and the record
 	// is kept for as long again, up to maxSuspectTTL.
@@ -46,6 +51,9 @@
 	logger *zap.Logger
 	// changes counts the changes of records by kind, nil if they aren't counted.
 	changes func(kind string)
+	// explain and retract are told the endpoint incarnations whose crashes are put down to a
+	// request, and those whose crashes no longer are, nil if nobody is told.
+	explain, retract func(incarnations []uint64)
 
 	mu       sync.Mutex
 	suspects map[uint64]*suspect
@@ -113,6 +121,11 @@
 	return &crashTracker{logger: logger, suspects: make(map[uint64]*suspect)}
 }
 
+// explainWith makes the tracker of parts leave crashes out that requests explain.
+func (c *crashTracker) explainWith(parts *blame.Tracker) {
+	c.explain, c.retract = parts.ExplainCrashes, parts.RetractCrashes
+}
+
 // countChange counts a change of the records.
 func (c *crashTracker) countChange(kind string) {
 	if c.changes != nil {
@@ -177,6 +190,9 @@
 	s.unanswered = s.unanswered || unanswered
 	s.changedAt = now
 	c.countChange("crash")
+	if c.explain != nil && s.unanswered && len(s.crashes) >= explainThreshold {
+		c.explain(slices.Collect(maps.Keys(s.crashes)))
+	}
 	if len(s.crashes) == blockThreshold {
 		c.countChange("blocked")
 		event.RequestIsolated.Log(c.logger, zap.Uint64("fingerprint", fingerprint), zap.Int("endpoints", len(s.crashes)))
@@ -211,7 +227,16 @@
 		event.RequestCleared.Log(c.logger, zap.Uint64("fingerprint", fingerprint), zap.Int("crashes", len(s.crashes)))
 	}
 	now := time.Now()
-	s.complete(now, now)
+	c.complete(s, now, now)
+}
+
+// complete removes the crashes of a suspect up to the time at which it ran to completion. The
+// caller holds c.mu.
+func (c *crashTracker) complete(s *suspect, at, now time.Time) {
+	if c.retract != nil && at.After(s.completedAt) {
+		c.retract(slices.Collect(maps.Keys(s.crashes)))
+	}
+	s.complete(at, now)
 }
 
 // complete removes the crashes up to the time at which the request ran to completion.
@@ -289,7 +314,7 @@
 			}
 		}
 		if s := c.suspects[report.GetFingerprint()]; s != nil && report.CompletedAgeMs != nil {
-			s.complete(since(report.GetCompletedAgeMs()), now)
+			c.complete(s, since(report.GetCompletedAgeMs()), now)
 		}
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -108,6 +108,7 @@
 	e.storeSyncer = newStoreSyncer(e)
 	e.peers = newPeers(e)
 	e.parts = &partGuard{entry: e}
+	e.crashTracker.explainWith(&e.parts.tracker)
 	e.detector = newCrashDetector(e)
 	e.view.Store(e.storeSyncer.state.View())
 	e.requests = metrics.Counter("lentilstand_requests", "Finished requests by result.", "result")
--- a/pkg/blame/causes.go
+++ b/pkg/blame/causes.go
@@ -75,12 +75,40 @@
 	return others
 }
 
-// withoutCulprit returns the times of a part's crashes for which no other part is the
-// culprit. The part was never answered. The caller holds t.mu.
+// maxExplained limits the crashes that are put down to requests.
+const maxExplained = 256
+
+// ExplainCrashes records that one request was at all of the crashes of the given endpoint
+// incarnations, and hadn't been answered at any. It is their likeliest cause, so that parts of other
+// requests, which were at fewer of them, aren't blocked by these crashes.
+func (t *Tracker) ExplainCrashes(incarnations []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.explained == nil || len(t.explained)+len(incarnations) > maxExplained {
+		// Parts that were beside older ones are blocked again until they are probed.
+		t.explained = make(map[uint64]int)
+	}
+	for _, incarnation := range incarnations {
+		t.explained[incarnation] = max(t.explained[incarnation], len(incarnations))
+	}
+}
+
+// RetractCrashes undoes ExplainCrashes for crashes of a request that has run to completion since.
+func (t *Tracker) RetractCrashes(incarnations []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, incarnation := range incarnations {
+		delete(t.explained, incarnation)
+	}
+}
+
+// withoutCulprit returns the times of a part's crashes for which neither another part nor a whole
+// request that was at more crashes is the culprit. The part was never answered. The caller holds t.mu.
 func (t *Tracker) withoutCulprit(part Part) []time.Time {
 	var times []time.Time
 	for incarnation, crash := range t.suspects[part].crashes {
-		if !slices.ContainsFunc(t.otherCandidates(part, incarnation), t.isCulprit) {
+		byRequest := t.explained[incarnation] > len(t.suspects[part].crashes)
+		if !byRequest && !slices.ContainsFunc(t.otherCandidates(part, incarnation), t.isCulprit) {
 			times = append(times, crash.at)
 		}
 	}
--- a/pkg/blame/tracker.go
+++ b/pkg/blame/tracker.go
@@ -91,6 +91,9 @@
 	answers  answers
 	// causes is nil if the records have changed since it was found.
 	causes *causes
+	// explained holds, by incarnation, at how many crashes the request was that explains the
+	// crash of it.
+	explained map[uint64]int
 	// firstAnswer is when an endpoint first answered a request of this tracker.
 	firstAnswer time.Time
 	changes     []Change
