--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -75,6 +75,9 @@
 	EndpointLimited   = register(4010, "endpoint_limited", infoLevel, "An endpoint takes no more than `per_second` requests a second from all entries; this entry sends it one each `interval`.")
 	EndpointUnlimited = register(4011, "endpoint_unlimited", infoLevel, "An endpoint no longer limits the rate of requests.")
 	EndpointIgnored   = register(4012, "endpoint_ignored", infoLevel, "An endpoint in the store is not used; `reason` tells why.")
+	OutageBegan       = register(4020, "outage_began", warnLevel, "No endpoint of the service takes requests; it is expected to end after `expected`.")
+	OutageEnded       = register(4021, "outage_ended", infoLevel, "Endpoints of the service take requests again, after `lasted`.")
+	RetriesSpread     = register(4022, "retries_spread", infoLevel, "Callers of refused requests were told when to retry since the last such entry: `booked` of them a time at which a slot is expected, `unbooked` one towards the end of the time that they wait, `repeated` one after that of the same request. The rates that decided are `full_per_second`, `new_per_second` and `spare_per_second`, of this entry.")
 	EndpointLeaving   = register(4004, "endpoint_leaving", infoLevel, "The endpoint is leaving; it gets no new requests.")
 )
 
--- a/pkg/sched/fill.go
+++ b/pkg/sched/fill.go
@@ -48,6 +48,12 @@
 	return f.factor
 }
 
+// canPredictPasses reports whether the length of passes can be predicted. The caller must hold
+// s.mu.
+func (s *Service) canPredictPasses(load groupLoad) bool {
+	return load.endpoints > 0 && s.engine != nil && s.engine.Stride > 0 && s.engine.PerSequence > 0 && s.passTarget > 0
+}
+
 // bearable returns how many requests each endpoint may have for passes to take lateTargetShare
 // of the gap target, at least minLateFill. Load is that of the group now. The caller must hold s.mu.
 func (s *Service) bearable(load groupLoad, now time.Time) float64 {
@@ -65,7 +71,7 @@
 // get lateSlotShare of the slots. The caller must hold s.mu.
 func (s *Service) limitLate(req Request, loads []pick.Load, now time.Time) bool {
 	bound := math.Inf(1)
-	if load := s.groupLoad(now); load.endpoints > 0 && s.engine != nil && s.engine.Stride > 0 && s.engine.PerSequence > 0 && s.passTarget > 0 {
+	if load := s.groupLoad(now); s.canPredictPasses(load) {
 		bearable := s.bearable(load, now)
 		bound = math.Ceil(bearable)
 		sent := 0
--- a/pkg/sched/outage.go
+++ b/pkg/sched/outage.go
@@ -4,6 +4,10 @@
 	"errors"
 	"slices"
 	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilstand/lentilstand/internal/event"
 )
 
 // trackOutage records the start or the end of an outage, in which no endpoint takes
@@ -13,7 +17,9 @@
 	switch {
 	case noneAvailable && s.outageStart.IsZero():
 		s.outageStart = now
+		event.OutageBegan.Log(s.logger, zap.String("service", s.name), zap.Duration("expected", s.expectedOutage()))
 	case !noneAvailable && !s.outageStart.IsZero():
+		event.OutageEnded.Log(s.logger, zap.String("service", s.name), zap.Duration("lasted", now.Sub(s.outageStart)))
 		if s.hasServed {
 			s.meanOutage = (s.expectedOutage() + now.Sub(s.outageStart)) / 2
 		}
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -188,6 +188,8 @@
 	arrivals arrivalRate
 	// bookings are the times at which callers of refused requests were told to retry.
 	bookings book.Book
+	// retries counts them for the log.
+	retries retryCounts
 	// passFactor is what was learned about passes since the last outage.
 	passFactor passFactor
 }
--- a/pkg/sched/spare.go
+++ b/pkg/sched/spare.go
@@ -3,6 +3,10 @@
 import (
 	"math"
 	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilstand/lentilstand/internal/event"
 )
 
 // Parameters of the times at which callers are told to retry.
@@ -99,19 +103,77 @@
 	if caller.TimeLeft > 0 {
 		latest = max(earliest, min(latest, time.Duration(waitShare*float64(caller.TimeLeft))))
 	}
+	defer s.logRetries(now)
 	at, repeated := s.bookings.Booked(caller.Key, now)
 	if !repeated && !caller.HasRetried {
 		perSecond := s.spareRate(now)
 		if at, ok := s.bookings.Reserve(caller.Key, caller.Priority, perSecond, now.Add(earliest), now.Add(latest), now); ok {
 			// All entries begin to book at the same time, so each caller is told a random time
 			// before the next booking.
+			s.retries.booked++
 			earliest, latest = at.Sub(now), min(latest, at.Sub(now)+time.Duration(float64(time.Second)/perSecond))
 			return earliest + s.randomBelow(max(minRetryJitter, latest-earliest))
 		}
 	}
 	earliest += time.Duration(unbookedDelay * float64(latest-earliest))
 	if repeated {
+		s.retries.repeated++
 		earliest = max(earliest, min(latest, at.Sub(now)))
+	} else {
+		s.retries.unbooked++
 	}
 	return earliest + s.randomBelow(max(minRetryJitter, latest-earliest))
 }
+
+// retryLogPeriod is the shortest time between two log entries on when callers were told to retry.
+const retryLogPeriod = time.Second
+
+// retryCounts counts the callers that were told when to retry since loggedAt.
+type retryCounts struct {
+	booked, unbooked, repeated int
+	loggedAt                   time.Time
+}
+
+// logRetries logs when callers were told to retry, at most once in retryLogPeriod. The caller
+// must hold s.mu.
+func (s *Service) logRetries(now time.Time) {
+	counts := &s.retries
+	if now.Sub(counts.loggedAt) < retryLogPeriod {
+		return
+	}
+	event.RetriesSpread.Log(s.logger, zap.String("service", s.name), zap.Int("booked", counts.booked), zap.Int("unbooked", counts.unbooked),
+		zap.Int("repeated", counts.repeated), zap.Float64("full_per_second", s.fullRate(now)), zap.Float64("new_per_second", s.arrivals.at(now)),
+		zap.Float64("spare_per_second", s.spareRate(now)))
+	*counts = retryCounts{loggedAt: now}
+}
+
+// Forecast is what an entry expects of a service.
+type Forecast struct {
+	completions, spare, lateFill float64
+	bookings                     int
+}
+
+// CompletionsPerSecond returns how many of the entry's requests are expected to complete.
+func (f Forecast) CompletionsPerSecond() float64 { return f.completions }
+
+// SparePerSecond returns the rate at which callers of refused requests are told to retry.
+func (f Forecast) SparePerSecond() float64 { return f.spare }
+
+// LateFill returns how many requests each endpoint may have for late ones to begin, zero if
+// passes don't limit that now.
+func (f Forecast) LateFill() float64 { return f.lateFill }
+
+// Bookings returns the number of callers that are expected to return at a booked time.
+func (f Forecast) Bookings() int { return f.bookings }
+
+// Forecast returns what the entry expects now.
+func (s *Service) Forecast() Forecast {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	f := Forecast{completions: s.completionRate(now), spare: s.spareRate(now), bookings: s.bookings.Len(now)}
+	if load := s.groupLoad(now); s.isRecovering(now) && s.canPredictPasses(load) {
+		f.lateFill = s.bearable(load, now)
+	}
+	return f
+}
