--- a/pkg/sched/fill.go
+++ b/pkg/sched/fill.go
@@ -74,11 +74,7 @@
 	if load := s.groupLoad(now); s.canPredictPasses(load) {
 		bearable := s.bearable(load, now)
 		bound = math.Ceil(bearable)
-		sent := 0
-		for _, e := range s.endpoints {
-			sent += max(0, e.own-e.ownAtReport)
-		}
-		if !req.Resuming && load.held+float64(sent*s.otherEntries()) >= bearable*load.endpoints {
+		if !req.Resuming && load.held+load.sent*float64(s.otherEntries()) >= bearable*load.endpoints {
 			return false
 		}
 	}
--- a/pkg/sched/group.go
+++ b/pkg/sched/group.go
@@ -15,6 +15,8 @@
 	// held is the number of requests that the endpoints have, running the number of those
 	// that run, and own that of this entry's.
 	held, running, own float64
+	// sent is the number of this entry's requests that the endpoints' last reports don't have.
+	sent float64
 	// interval is the mean interval between passes, zero if no agent reports passes.
 	interval time.Duration
 }
@@ -30,9 +32,10 @@
 func (s *Service) groupLoad(now time.Time) groupLoad {
 	var load groupLoad
 	var intervals time.Duration
-	endpoints, reports, passes := 0, 0, 0
+	endpoints, reports, passes, held, runs, own, sent := 0, 0, 0, 0, 0, 0, 0
+	anyEvacuated := len(s.evacuated) > 0
 	for _, e := range s.endpoints {
-		if e.draining || s.evacuated[e.spec.DataCentre()] {
+		if e.draining || anyEvacuated && s.evacuated[e.spec.DataCentre()] {
 			continue
 		}
 		endpoints++
@@ -41,12 +44,13 @@
 		}
 		reports++
 		running := max(e.own, e.reported+e.own-e.ownAtReport)
-		load.held += float64(running)
+		held += running
 		if e.slots > 0 {
 			running = min(running, e.slots)
 		}
-		load.running += float64(running)
-		load.own += float64(e.own)
+		runs += running
+		own += e.own
+		sent += max(0, e.own-e.ownAtReport)
 		if e.passInterval > 0 {
 			passes++
 			intervals += e.passInterval
@@ -57,8 +61,8 @@
 	}
 	scale := float64(endpoints) / float64(reports)
 	load.endpoints = float64(endpoints)
-	load.held *= scale
-	load.running *= scale
+	load.held, load.running = scale*float64(held), scale*float64(runs)
+	load.own, load.sent = float64(own), float64(sent)
 	if passes > 0 {
 		load.interval = intervals / time.Duration(passes)
 	}
