--- a/pkg/sched/outage.go
+++ b/pkg/sched/outage.go
@@ -59,6 +59,10 @@
 		}
 	}
 	earliest := minRetryAfter
+	if reach := caller.reach(); reach > 0 {
+		// A caller with a short time limit comes back sooner.
+		earliest = min(earliest, reach/2)
+	}
 	if errors.Is(cause, ErrNoEndpoint) && !s.outageStart.IsZero() {
 		earliest = max(earliest, s.expectedOutage()-now.Sub(s.outageStart))
 	}
--- a/pkg/sched/queue_test.go
+++ b/pkg/sched/queue_test.go
@@ -117,6 +117,21 @@
 	}
 }
 
+// TestRetryAfterKeepsToTheTimeLeft guards against callers that are told to come back when it is
+// too late for their request, as they wait for at most a third of the time that is left.
+func TestRetryAfterKeepsToTheTimeLeft(t *testing.T) {
+	for _, left := range []time.Duration{700 * time.Millisecond, 2 * time.Second, 8 * time.Second} {
+		s := newModelService(1, 12)
+		for caller := range uint64(100) {
+			for range 2 {
+				wait := s.RetryAfter(ErrFull, Caller{Key: caller, TimeLeft: left})
+				require.Positive(t, wait)
+				require.LessOrEqual(t, wait, left/3+minRetryJitter)
+			}
+		}
+	}
+}
+
 // TestClientRetriesAreQueuedWhileGroupForms restarts an entry together with all
 // endpoints, as after a power loss. While the group forms, a new request must be
 // rejected, and a client's retry be queued and then assigned.
--- a/pkg/sched/spare.go
+++ b/pkg/sched/spare.go
@@ -45,6 +45,9 @@
 	HasRetried bool
 }
 
+// reach returns how long the caller waits at most before it retries, zero if it isn't known.
+func (c Caller) reach() time.Duration { return max(0, time.Duration(waitShare*float64(c.TimeLeft))) }
+
 // arrivalRate is the rate of new requests, decayed with arrivalHalfLife.
 type arrivalRate struct {
 	count       float64
@@ -94,14 +97,14 @@
 
 // bookedWait returns how long a caller should wait before it retries, at least earliest and at
 // most about spread longer. Its time is booked. If there is no room before it must be back, it
-// is told a random one towards the end, when more of those with a booking are done. So is a caller
-// that repeats a request, or another one with the same content, but not before the booked time,
-// so that it has no advantage and costs others no booking.
+// is told a random one towards the end, when more of those with a booking are done. A caller
+// that repeats a request, or another one with the same content, is told a random time after the
+// booked one, so that it has no advantage and costs others no booking.
 // The caller must hold s.mu.
 func (s *Service) bookedWait(caller Caller, earliest, spread time.Duration, now time.Time) time.Duration {
 	latest := earliest + spread - minRetryJitter
-	if caller.TimeLeft > 0 {
-		latest = max(earliest, min(latest, time.Duration(waitShare*float64(caller.TimeLeft))))
+	if reach := caller.reach(); reach > 0 {
+		latest = max(earliest, min(latest, reach))
 	}
 	defer s.logRetries(now)
 	at, repeated := s.bookings.Booked(caller.Key, now)
@@ -115,12 +118,12 @@
 			return earliest + s.randomBelow(max(minRetryJitter, latest-earliest))
 		}
 	}
-	earliest += time.Duration(unbookedDelay * float64(latest-earliest))
 	if repeated {
 		s.retries.repeated++
 		earliest = max(earliest, min(latest, at.Sub(now)))
 	} else {
 		s.retries.unbooked++
+		earliest += time.Duration(unbookedDelay * float64(latest-earliest))
 	}
 	return earliest + s.randomBelow(max(minRetryJitter, latest-earliest))
 }
