--- a/pkg/sched/fill.go
+++ b/pkg/sched/fill.go
@@ -67,14 +67,14 @@
 // limitLate limits the slots in loads to those that a late request may take during the
 // recovery from an outage. It returns false if the request may not begin now: if the group
 // has as many requests as it can bear (see bearable). Since its last report, each
-// other entry is assumed to have sent as many as this one. Without reports, late requests
-// get lateSlotShare of the slots. The caller must hold s.mu.
+// other entry is assumed to have sent as many as this one. Without reports, and for a stream
+// that resumes, whose caller disconnects soon, only lateSlotShare counts. The caller must hold s.mu.
 func (s *Service) limitLate(req Request, loads []pick.Load, now time.Time) bool {
 	bound := math.Inf(1)
-	if load := s.groupLoad(now); s.canPredictPasses(load) {
+	if load := s.groupLoad(now); !req.Resuming && s.canPredictPasses(load) {
 		bearable := s.bearable(load, now)
 		bound = math.Ceil(bearable)
-		if !req.Resuming && load.held+load.sent*float64(s.otherEntries()) >= bearable*load.endpoints {
+		if load.held+load.sent*float64(s.otherEntries()) >= bearable*load.endpoints {
 			return false
 		}
 	}
--- a/pkg/sched/outage_test.go
+++ b/pkg/sched/outage_test.go
@@ -423,6 +423,49 @@
 	}
 }
 
+// TestLateRequestsBeginWhilePassesAreShort guards against late requests that fill a group whose passes
+// are long already, and against streams that wait for shorter passes until their callers leave.
+func TestLateRequestsBeginWhilePassesAreShort(t *testing.T) {
+	const endpoints = 4
+	testCases := []struct {
+		name     string
+		interval time.Duration
+		running  int
+		req      Request
+		want     int
+	}{
+		{"no passes yet", 0, 0, Request{ClientRetry: true}, endpoints * minLateFill},
+		{"as many as are bearable", 140 * time.Millisecond, minLateFill, Request{ClientRetry: true}, 0},
+		{"short passes", 45 * time.Millisecond, 2, Request{ClientRetry: true}, endpoints * (8 - 2)},
+		{"a stream that resumes", 140 * time.Millisecond, minLateFill, Request{Resuming: true}, endpoints * (8 - minLateFill)},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			s := newModelService(endpoints, testEngine.Slots)
+			s.now, s.otherEntries = func() time.Time { return now }, func() int { return 0 }
+			s.SetGapTarget(playGapTarget)
+			s.SetGroupEngine(testEngine)
+			s.outageEnd = now
+			began := 0
+			for range 20 {
+				// After two seconds, only the reported passes count.
+				now = now.Add(100 * time.Millisecond)
+				for _, e := range s.endpoints {
+					s.UpdateFromAgent(e.spec.Address().Addr(), AgentReport{Accepting: true, Running: tc.running, PassInterval: tc.interval})
+				}
+				s.limitLate(tc.req, nil, now)
+			}
+			for ; ; began++ {
+				if _, waiter, err := s.Admit(tc.req); err != nil || waiter != nil {
+					break
+				}
+			}
+			require.Equal(t, tc.want, began)
+		})
+	}
+}
+
 // TestOutageWithoutPeersOrReports guards against callers who are refused, or lost in an overload,
 // after an outage in which the entries know less than usual.
 func TestOutageWithoutPeersOrReports(t *testing.T) {
