--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -110,6 +110,7 @@
 	e.peers = newPeers(e)
 	e.demands = newDemands(e, metrics)
 	e.parts = &partGuard{entry: e}
+	e.crashTracker.explainWith(&e.parts.tracker)
 	e.detector = newCrashDetector(e)
 	e.view.Store(e.storeSyncer.state.View())
 	e.requests = metrics.Counter("lentilstand_requests", "Finished requests by result.", "result")
@@ -136,6 +137,7 @@
 		})
 	e.addPaceMetrics(metrics)
 	e.addAdmissionMetrics(metrics)
+	e.measureForecasts(metrics)
 	return e, nil
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -80,6 +80,9 @@
 	RankReadmitted     = register(4021, "rank_readmitted", infoLevel, "A rank that was excluded gets requests again, one more at a time.")
 	EndpointRamp       = register(4022, "endpoint_ramp", infoLevel, "An endpoint of a plain service has started or recovered, or refuses requests; `entries` entries begin with `per_second` requests a second in all and raise that as it answers.")
 	EndpointAtFullPace = register(4023, "endpoint_at_full_pace", infoLevel, "The rate of a started or recovered endpoint is no longer limited by this entry; `own_per_second` was its limit.")
+	OutageBegan        = register(4024, "outage_began", warnLevel, "No endpoint of the service takes requests; it is expected to end after `expected`.")
+	OutageEnded        = register(4025, "outage_ended", infoLevel, "Endpoints of the service take requests again, after `lasted`.")
+	RetriesSpread      = register(4026, "retries_spread", infoLevel, "Callers of refused requests were told when to retry since the last such entry: `booked` of them a time at which a slot is expected, `unbooked` one towards the end of the time that they wait, `repeated` one after that of the same request. The rates that decided are `full_per_second`, `new_per_second` and `spare_per_second`, of this entry.")
 	EndpointLeaving    = register(4004, "endpoint_leaving", infoLevel, "The endpoint is leaving; it gets no new requests.")
 )
 
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -12,8 +12,9 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/event"
-	"github.com/lentilstand/lentilstand/pkg/pace"
+	"github.com/lentilstand/lentilstand/pkg/book"
 	"github.com/lentilstand/lentilstand/pkg/level"
+	"github.com/lentilstand/lentilstand/pkg/pace"
 	"github.com/lentilstand/lentilstand/pkg/pick"
 	"github.com/lentilstand/lentilstand/pkg/table"
 )
@@ -77,15 +78,16 @@
 	// prefill, and requests that arrive later would fail. At usual load half of the
 	// slots are free, so the requests of an outage can be served within about its length.
 	outageRetrySpread = 2500 * time.Millisecond
-	// recoveryWindow is how long after an outage a model service is slower than usual.
-	// Its ranks start with the initial expert map, and balance their load by two
-	// switches of 0.6 s to 1.2 s. When all retries were served at once, passes took
-	// 1.5 times as long, and events of all streams were late.
-	recoveryWindow = 2 * time.Second
-	// lateSlotShare is the share of its slots that a model replica gives to late
-	// requests during recoveryWindow. At 0.3 and 0.4 more late requests failed than at
-	// 0.6, and at 1 no request was answered on time.
-	lateSlotShare = 0.6
+	// recoveryWindow is how long after an outage a model service is busier than usual. Its
+	// ranks start with the initial expert map, and balance their load by two switches.
+	// Callers that were rejected come back for outageRetrySpread, and wait for up to
+	// RetryQueueWait. When all retries were served at once, passes took 1.5 times as long,
+	// and events of all streams were late; with a window of 2 s that began after it.
+	recoveryWindow = outageRetrySpread + RetryQueueWait
+	// lateSlotShare is the share of its slots that a model replica gives to late requests
+	// during recoveryWindow. In a simulation, more late requests were lost at 0.6 and 0.7, and
+	// fewer new ones were on time at 0.9; at 1 none was on time on the whole system.
+	lateSlotShare = 0.8
 	// minRetryAfter is the minimum time after which a rejected caller may retry.
 	minRetryAfter = 300 * time.Millisecond
 )
@@ -156,9 +158,11 @@
 	random *rand.Rand
 	// isModelService is set if the endpoints are model replicas.
 	isModelService bool
-	endpoints      []*endpoint
-	evacuated      map[string]bool
-	subset         subsetState
+	// engine describes the model replicas, nil for a plain service.
+	engine    *table.Engine
+	endpoints []*endpoint
+	evacuated map[string]bool
+	subset    subsetState
 	// waiting is the queue, in order of arrival.
 	waiting []*Waiter
 	// completions and sends are the rates at which this entry's requests end, with any
@@ -180,8 +184,6 @@
 	// gapTarget is the longest gap between events at which streams are on time, zero if the
 	// service has none.
 	gapTarget time.Duration
-	// engine has the figures of the service's model replicas; nil for a plain service.
-	engine *table.Engine
 	// held is why the last call of choose has held its request back, if it has, and holds
 	// counts the requests that were held back when they arrived.
 	held  hold
@@ -205,6 +207,14 @@
 	anySlow bool
 	// hasServed is set once an endpoint has answered since the entry started.
 	hasServed bool
+	// arrivals is the rate of new requests.
+	arrivals arrivalRate
+	// bookings are the times at which callers of refused requests were told to retry.
+	bookings book.Book
+	// retries counts them for the log.
+	retries retryCounts
+	// passFactor is what was learned about passes since the last outage.
+	passFactor passFactor
 }
 
 // Option configures a Service.
@@ -482,8 +492,8 @@
 	}
 	if req.isLate() && s.isRecovering(now) {
 		extra = 0
-		for i := range loads {
-			loads[i].Slots = int(math.Ceil(lateSlotShare * float64(loads[i].Slots)))
+		if !s.limitLate(req, loads, now) {
+			return nil, pick.Full
 		}
 	}
 	pick.EstimateArrivals(loads, extra, s.sends.at(now))
