--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -220,6 +220,7 @@
 		r.exchange.Abort()
 		return
 	}
+	r.entry.timeoutsOf(r.route.Name()).RecordRefusal(time.Now())
 	r.refuse(&refusal{http.StatusServiceUnavailable, cause.Error(), r.service.RetryAfter(cause)})
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -32,6 +32,7 @@
 	"github.com/lentilstand/lentilstand/internal/webio"
 	"github.com/lentilstand/lentilstand/pkg/drain"
 	"github.com/lentilstand/lentilstand/pkg/mirror"
+	"github.com/lentilstand/lentilstand/pkg/retry"
 	"github.com/lentilstand/lentilstand/pkg/sched"
 	"github.com/lentilstand/lentilstand/pkg/table"
 	"github.com/lentilstand/lentilstand/platform"
@@ -77,8 +78,8 @@
 
 	mu       sync.Mutex
 	services map[string]*sched.Service
-	// maxTimeouts holds the longest timeout that callers have sent, by route.
-	maxTimeouts map[string]time.Duration
+	// callerTimeouts holds the timeouts that callers send, by route.
+	callerTimeouts map[string]*retry.Timeouts
 
 	clients    *webio.Server
 	readiness  *webio.Server
@@ -97,13 +98,13 @@
 		return nil, err
 	}
 	e := &Entry{
-		logger:       logger,
-		meter:        metrics,
-		store:        platform.NewStore(settings.StoreAddress(), settings.Name()),
-		services:     make(map[string]*sched.Service),
-		maxTimeouts:  make(map[string]time.Duration),
-		crashTracker: newCrashTracker(logger),
-		log:          newRequestLog(logger),
+		logger:         logger,
+		meter:          metrics,
+		store:          platform.NewStore(settings.StoreAddress(), settings.Name()),
+		services:       make(map[string]*sched.Service),
+		callerTimeouts: make(map[string]*retry.Timeouts),
+		crashTracker:   newCrashTracker(logger),
+		log:            newRequestLog(logger),
 	}
 	e.settings.Store(&settings)
 	e.storeSyncer = newStoreSyncer(e)
@@ -225,26 +226,26 @@
 	return sched.ColdLimit{Rate: rate * min(1, factor), MaxRate: rate*factor + extra, Entries: max(1, len(view.Members()))}
 }
 
-// clientRetryShare is the fraction of a route's longest timeout below which a caller is
-// assumed to have spent some of its time on an earlier attempt.
-const clientRetryShare = 0.97
+// timeoutsOf returns what is known of the timeouts that callers send on a route.
+func (e *Entry) timeoutsOf(route string) *retry.Timeouts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	timeouts := e.callerTimeouts[route]
+	if timeouts == nil {
+		timeouts = &retry.Timeouts{}
+		e.callerTimeouts[route] = timeouts
+	}
+	return timeouts
+}
 
-// isClientRetry reports whether a caller seems to retry a request that was refused
-// before: its timeout is less than clientRetryShare of the longest one seen on the
-// route, or it resumes a stream. The first request on a route is compared with the
-// route's timeout. A request without a timeout says nothing about earlier attempts.
+// isClientRetry reports whether a caller seems to retry a request that was refused before:
+// its timeout is shorter than usual on the route, or it resumes a stream. A request without a
+// timeout says nothing about earlier attempts.
 func (e *Entry) isClientRetry(r *request) bool {
-	if r.head.Timeout <= 0 {
+	if r.head.LastEvent != "" || r.head.Timeout <= 0 {
 		return r.head.LastEvent != ""
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	longest, known := e.maxTimeouts[r.route.Name()]
-	e.maxTimeouts[r.route.Name()] = max(longest, r.head.Timeout)
-	if !known {
-		longest = r.route.Timeout()
-	}
-	return r.head.LastEvent != "" || float64(r.head.Timeout) < clientRetryShare*float64(longest)
+	return e.timeoutsOf(r.route.Name()).IsRetry(r.head.Timeout, r.route.Timeout(), r.receivedAt)
 }
 
 // tableService returns the named service of the view's routing table, or nil if there
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -12,8 +12,8 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/event"
-	"github.com/lentilstand/lentilstand/pkg/pace"
 	"github.com/lentilstand/lentilstand/pkg/level"
+	"github.com/lentilstand/lentilstand/pkg/pace"
 	"github.com/lentilstand/lentilstand/pkg/pick"
 	"github.com/lentilstand/lentilstand/pkg/table"
 )
