--- a/internal/edge/bystanders_test.go
+++ b/internal/edge/bystanders_test.go
@@ -55,6 +55,8 @@
 				local.recordSuccess(deadly)
 			}
 			refused, _ := tracker.Check([]blame.Part{part}, first, now)
+			require.True(t, refused, "until all entries have told of the crashes")
+			refused, _ = tracker.Check([]blame.Part{part}, first, now.Add(3*time.Second))
 			require.Equal(t, tc.want, refused)
 		})
 	}
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -53,7 +53,8 @@
 	changes func(kind string)
 	// explain and retract are told the endpoint incarnations whose crashes are put down to a
 	// request, and those whose crashes no longer are, nil if nobody is told.
-	explain, retract func(incarnations []uint64)
+	explain func(incarnations []uint64, now time.Time)
+	retract func(incarnations []uint64)
 
 	mu       sync.Mutex
 	suspects map[uint64]*suspect
@@ -191,7 +192,7 @@
 	s.changedAt = now
 	c.countChange("crash")
 	if c.explain != nil && s.unanswered && len(s.crashes) >= explainThreshold {
-		c.explain(slices.Collect(maps.Keys(s.crashes)))
+		c.explain(slices.Collect(maps.Keys(s.crashes)), now)
 	}
 	if len(s.crashes) == blockThreshold {
 		c.countChange("blocked")
--- a/pkg/blame/causes.go
+++ b/pkg/blame/causes.go
@@ -75,21 +75,35 @@
 	return others
 }
 
-// maxExplained limits the crashes that are put down to requests.
-const maxExplained = 256
+const (
+	// maxExplained limits the crashes that are put down to requests.
+	maxExplained = 256
+	// explainDelay is how long after it became known a request explains crashes. By then all
+	// entries have told at which crashes the parts were: they repeat news for newsTTL.
+	explainDelay = newsTTL
+)
+
+// explanation is what is known of the request that is the likeliest cause of a crash.
+type explanation struct {
+	// crashes is the number of crashes at which the request was.
+	crashes int
+	since   time.Time
+}
 
 // ExplainCrashes records that one request was at all of the crashes of the given endpoint
 // incarnations, and hadn't been answered at any. It is their likeliest cause, so that parts of other
 // requests, which were at fewer of them, aren't blocked by these crashes.
-func (t *Tracker) ExplainCrashes(incarnations []uint64) {
+func (t *Tracker) ExplainCrashes(incarnations []uint64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.explained == nil || len(t.explained)+len(incarnations) > maxExplained {
 		// Parts that were beside older ones are blocked again until they are probed.
-		t.explained = make(map[uint64]int)
+		t.explained = make(map[uint64]explanation)
 	}
 	for _, incarnation := range incarnations {
-		t.explained[incarnation] = max(t.explained[incarnation], len(incarnations))
+		if len(incarnations) > t.explained[incarnation].crashes {
+			t.explained[incarnation] = explanation{crashes: len(incarnations), since: now}
+		}
 	}
 }
 
@@ -104,10 +118,11 @@
 
 // withoutCulprit returns the times of a part's crashes for which neither another part nor a whole
 // request that was at more crashes is the culprit. The part was never answered. The caller holds t.mu.
-func (t *Tracker) withoutCulprit(part Part) []time.Time {
+func (t *Tracker) withoutCulprit(part Part, now time.Time) []time.Time {
 	var times []time.Time
 	for incarnation, crash := range t.suspects[part].crashes {
-		byRequest := t.explained[incarnation] > len(t.suspects[part].crashes)
+		request, explained := t.explained[incarnation]
+		byRequest := explained && now.Sub(request.since) >= explainDelay && request.crashes > len(t.suspects[part].crashes)
 		if !byRequest && !slices.ContainsFunc(t.otherCandidates(part, incarnation), t.isCulprit) {
 			times = append(times, crash.at)
 		}
--- a/pkg/blame/tracker.go
+++ b/pkg/blame/tracker.go
@@ -91,9 +91,8 @@
 	answers  answers
 	// causes is nil if the records have changed since it was found.
 	causes *causes
-	// explained holds, by incarnation, at how many crashes the request was that explains the
-	// crash of it.
-	explained map[uint64]int
+	// explained holds, by incarnation, what explains the crash of it.
+	explained map[uint64]explanation
 	// firstAnswer is when an endpoint first answered a request of this tracker.
 	firstAnswer time.Time
 	changes     []Change
@@ -378,7 +377,7 @@
 		if s.vetted || !t.firstAnswer.IsZero() && now.Sub(t.firstAnswer) >= experience {
 			required = unprovenEpisodes
 		}
-		return episodes(t.withoutCulprit(part)) >= required
+		return episodes(t.withoutCulprit(part, now)) >= required
 	}
 	return episodes(t.unexplained(s, answered)) >= provenEpisodes
 }
