--- a/pkg/sched/admit.go
+++ b/pkg/sched/admit.go
@@ -155,7 +155,8 @@
 // of more urgent requests, or as the passes would take longer than the gap target. Loads are
 // those of the endpoints, with their expected arrivals. The caller must hold s.mu.
 func (s *Service) holdBack(req Request, loads []pick.Load, now time.Time) hold {
-	if !s.isModelService || req.Resuming {
+	if !s.isModelService || req.Resuming || s.isRecovering(now) {
+		// After an outage only late requests are limited, by limitLate.
 		return hold{}
 	}
 	group := s.groupSlots(loads)
