--- a/internal/prefs/platform.go
+++ b/internal/prefs/platform.go
@@ -29,6 +29,7 @@
 	peerPort     int
 	adminAddress string
 	logLevel     zapcore.Level
+	limits       Limits
 }
 
 func readProcess(object *jsonc.Object) Process {
@@ -39,6 +40,7 @@
 		peerPort:     int(object.Int("peer_port", 1, maxPort)),
 		adminAddress: requiredAddress(object, "admin_listen"),
 		logLevel:     readLogLevel(object),
+		limits:       readLimits(object),
 	}
 }
 
@@ -62,6 +64,9 @@
 // LogLevel returns the minimum level of log entries.
 func (s Process) LogLevel() zapcore.Level { return s.logLevel }
 
+// Limits returns the limits of the host on which the process runs.
+func (s Process) Limits() Limits { return s.limits }
+
 // Edge holds the settings of an entry on the platform.
 type Edge struct {
 	Process
--- a/internal/prefs/prefs.go
+++ b/internal/prefs/prefs.go
@@ -104,6 +104,7 @@
 	stopTimeout        time.Duration
 	streamBufferBudget int64
 	logLevel           zapcore.Level
+	limits             Limits
 }
 
 // LoadEntry loads an entry's settings from a file.
@@ -125,6 +126,7 @@
 		stopTimeout:        optionalSeconds(object, "stop_bound_s", defaultStopTimeout),
 		streamBufferBudget: object.IntOr("stream_budget_bytes", defaultStreamBudget, minStreamBudget, maxStreamBudget),
 		logLevel:           readLogLevel(object),
+		limits:             readLimits(object),
 	}
 }
 
@@ -163,6 +165,9 @@
 // LogLevel returns the minimum level of log entries.
 func (e Entry) LogLevel() zapcore.Level { return e.logLevel }
 
+// Limits returns the limits of the host on which the entry runs.
+func (e Entry) Limits() Limits { return e.limits }
+
 // Agent holds the settings of an agent outside the platform.
 type Agent struct {
 	name            string
@@ -177,6 +182,7 @@
 	firstByteTarget time.Duration
 	stopTimeout     time.Duration
 	logLevel        zapcore.Level
+	limits          Limits
 }
 
 // LoadAgent loads an agent's settings from a file.
@@ -199,6 +205,7 @@
 		firstByteTarget: time.Duration(object.IntOr("first_byte_ms", defaultFirstByteTarget.Milliseconds(), 1, maxTimeoutMS)) * time.Millisecond,
 		stopTimeout:     optionalSeconds(object, "stop_bound_s", defaultStopTimeout),
 		logLevel:        readLogLevel(object),
+		limits:          readLimits(object),
 	}
 }
 
@@ -240,6 +247,9 @@
 // LogLevel returns the minimum level of log entries.
 func (a Agent) LogLevel() zapcore.Level { return a.logLevel }
 
+// Limits returns the limits of the host on which the agent runs.
+func (a Agent) Limits() Limits { return a.limits }
+
 // Operator holds the settings of the operators' commands.
 type Operator struct {
 	keyValueAddress string
--- a/internal/procs/procs.go
+++ b/internal/procs/procs.go
@@ -107,6 +107,19 @@
 	return p
 }
 
+// PID returns the process ID.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
+// Exited reports whether the process has exited.
+func (p *Process) Exited() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Log returns the standard output and standard error of the process so far.
 func (p *Process) Log() string { return p.log.String() }
 
@@ -176,9 +189,12 @@
 	KeyValueAddress  string
 	HostListAddress  string
 	OperatorSettings string
-	Entries          map[string]*Entry
-	Agents           map[string]*Agent
-	endpointConfigs  []string
+	// Limits holds settings of memory and descriptors that all daemons get, as fields of JSON
+	// that end with a comma. It may be empty.
+	Limits          string
+	Entries         map[string]*Entry
+	Agents          map[string]*Agent
+	endpointConfigs []string
 }
 
 // Entry is the process of an entry and the addresses it listens on.
@@ -270,8 +286,8 @@
 	a := &Agent{EndpointAddress: FreeAddress(f.t), Address: FreeAddress(f.t), AdminAddress: FreeAddress(f.t)}
 	a.Endpoint = Start(f.t, append([]string{"stand-in", "--listen", a.EndpointAddress}, standIn...)...)
 	a.settings = f.writeFile("agent-"+name+".jsonc", fmt.Sprintf(
-		`{"name": %q, "service": %q, "kind": %q, "listen": %q, "admin_listen": %q, "endpoint": %q, "capacity": 8, "stop_bound_s": 10}`,
-		name, service, kind, a.Address, a.AdminAddress, a.EndpointAddress))
+		`{%s"name": %q, "service": %q, "kind": %q, "listen": %q, "admin_listen": %q, "endpoint": %q, "capacity": 8, "stop_bound_s": 10}`,
+		f.Limits, name, service, kind, a.Address, a.AdminAddress, a.EndpointAddress))
 	a.Process = Start(f.t, "agent", "--settings", a.settings)
 	f.Agents[name] = a
 	f.endpointConfigs = append(f.endpointConfigs, fmt.Sprintf(
@@ -311,8 +327,8 @@
 	f.t.Helper()
 	e := &Entry{Address: FreeAddress(f.t), PeerAddress: FreeAddress(f.t), AdminAddress: FreeAddress(f.t)}
 	e.settings = f.writeFile("entry-"+name+".jsonc", fmt.Sprintf(
-		`{"name": %q, "data_centre": %q, "listen": %q, "peer_listen": %q, "admin_listen": %q, "key_value": %q, "host_list": %q, "address_ttl_s": 1, "stop_bound_s": 15}`,
-		name, dataCentre, e.Address, e.PeerAddress, e.AdminAddress, f.KeyValueAddress, f.HostListAddress))
+		`{%s"name": %q, "data_centre": %q, "listen": %q, "peer_listen": %q, "admin_listen": %q, "key_value": %q, "host_list": %q, "address_ttl_s": 1, "stop_bound_s": 15}`,
+		f.Limits, name, dataCentre, e.Address, e.PeerAddress, e.AdminAddress, f.KeyValueAddress, f.HostListAddress))
 	e.Process = Start(f.t, "entry", "--settings", e.settings)
 	f.Entries[name] = e
 	return e
