--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -55,8 +55,8 @@
 }
 
 // Listen starts a server on address.
-func (a *Admin) Listen(address string, logger *zap.Logger) (*webio.Server, error) {
-	server := webio.NewServer(a, logger)
+func (a *Admin) Listen(address string, logger *zap.Logger, options ...webio.Option) (*webio.Server, error) {
+	server := webio.NewServer(a, logger, options...)
 	if err := server.Listen(address); err != nil {
 		return nil, err
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/hints"
 	"github.com/lentilstand/lentilstand/internal/link"
+	"github.com/lentilstand/lentilstand/internal/memory"
 	"github.com/lentilstand/lentilstand/internal/meter"
 	"github.com/lentilstand/lentilstand/internal/prefs"
 	"github.com/lentilstand/lentilstand/internal/webio"
@@ -40,6 +41,7 @@
 	settings    prefs.Agent
 	logger      *zap.Logger
 	meter       *meter.Meter
+	account     *memory.Account
 	incarnation string
 	limiter     *admit.Limiter
 	slowStart   *admit.SlowStart
@@ -74,6 +76,7 @@
 		settings:    settings,
 		logger:      logger,
 		meter:       metrics,
+		account:     memory.New(settings.Limits().MemoryMB(), settings.Limits().Descriptors()),
 		incarnation: uuid.NewString(),
 		limiter:     admit.NewLimiter(0),
 		slowStart: admit.NewSlowStart(settings.Capacity(), settings.FirstByteTarget(),
@@ -81,6 +84,7 @@
 		client:  newEndpointClient(),
 		changed: make(chan struct{}),
 	}
+	a.account.Observe(logger, metrics)
 	a.attempts = metrics.Counter("lentilstand_attempts", "Attempts by what became of them.", "result")
 	a.firstBytes = metrics.Histogram("lentilstand_first_byte", "Time until the endpoint's first byte.", "service")
 	metrics.Gauge("lentilstand_credits", "Credits by state.", "state", a.observeCredits)
@@ -120,13 +124,14 @@
 
 // Start listens for entries and operators and begins to poll the endpoint.
 func (a *Agent) Start() error {
+	a.account.LimitHeap()
 	server, err := link.Listen(a.settings.ListenAddress(), a.serveStream, a.logger)
 	if err != nil {
 		return err
 	}
 	pages := admin.New(a, a.meter)
 	pages.Handle("POST /leave", a.handleLeave)
-	adminServer, err := pages.Listen(a.settings.AdminAddress(), a.logger)
+	adminServer, err := pages.Listen(a.settings.AdminAddress(), a.logger, webio.WithAccount(a.account))
 	if err != nil {
 		server.Close()
 		return err
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,6 +27,7 @@
 	"github.com/lentilstand/lentilstand/internal/dgram"
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/link"
+	"github.com/lentilstand/lentilstand/internal/memory"
 	"github.com/lentilstand/lentilstand/internal/meter"
 	"github.com/lentilstand/lentilstand/internal/prefs"
 	"github.com/lentilstand/lentilstand/internal/webio"
@@ -47,9 +48,11 @@
 type Entry struct {
 	logger *zap.Logger
 	meter  *meter.Meter
-	store  *platform.Store
-	pool   conns.Pool
-	dialer link.Dialer
+	// account limits what clients and endpoints make the process keep.
+	account *memory.Account
+	store   *platform.Store
+	pool    conns.Pool
+	dialer  link.Dialer
 
 	settings atomic.Pointer[prefs.Edge]
 	view     atomic.Pointer[mirror.View]
@@ -105,6 +108,7 @@
 		log:          newRequestLog(logger),
 	}
 	e.settings.Store(&settings)
+	e.limitMemory(settings.Limits())
 	e.storeSyncer = newStoreSyncer(e)
 	e.peers = newPeers(e)
 	e.parts = &partGuard{entry: e}
@@ -135,9 +139,20 @@
 	return e, nil
 }
 
+// bufferShare is the part of the account's limit that buffered responses may have in addition.
+const bufferShare = 4
+
+// limitMemory creates the account of the process.
+func (e *Entry) limitMemory(limits prefs.Limits) {
+	e.account = memory.New(limits.MemoryMB(), limits.Descriptors())
+	e.account.Observe(e.logger, e.meter)
+	e.buffers.SetCeiling(e.account.Limit() / bufferShare)
+}
+
 // Start opens the listeners and starts to watch the store and serve requests.
 func (e *Entry) Start() error {
 	settings := e.settings.Load()
+	e.account.LimitHeap()
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	socket, err := dgram.Listen(settings.PeerAddress(), e.peers.receive, e.logger)
@@ -148,10 +163,11 @@
 	if e.links, err = link.Listen(settings.PeerAddress(), e.peers.serveStream, e.logger); err != nil {
 		return err
 	}
-	e.clients = webio.NewServer(webio.HandlerFunc(e.serve), e.logger)
-	e.readiness = webio.NewServer(webio.HandlerFunc(e.serveReadiness), e.logger)
-	e.directory = webio.NewServer(webio.HandlerFunc(e.serveDirectory), e.logger)
-	e.admin = webio.NewServer(admin.New(e, e.meter), e.logger)
+	account := webio.WithAccount(e.account)
+	e.clients = webio.NewServer(webio.HandlerFunc(e.serve), e.logger, account)
+	e.readiness = webio.NewServer(webio.HandlerFunc(e.serveReadiness), e.logger, account)
+	e.directory = webio.NewServer(webio.HandlerFunc(e.serveDirectory), e.logger, account)
+	e.admin = webio.NewServer(admin.New(e, e.meter), e.logger, account)
 	for _, listener := range []struct {
 		server  *webio.Server
 		address string
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/lentilstand/lentilstand/internal/admin"
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/link"
+	"github.com/lentilstand/lentilstand/internal/memory"
 	"github.com/lentilstand/lentilstand/internal/meter"
 	"github.com/lentilstand/lentilstand/internal/prefs"
 	"github.com/lentilstand/lentilstand/internal/webio"
@@ -52,9 +53,11 @@
 	crashes     *crashTracker
 	parker      *streamParker
 	budget      retry.Budget
-	requests    meter.Counter
-	firstBytes  meter.Histogram
-	leaving     atomic.Bool
+	// account limits what clients and peers make the process keep.
+	account    *memory.Account
+	requests   meter.Counter
+	firstBytes meter.Histogram
+	leaving    atomic.Bool
 	// stop is when the process ends, if it is stopping.
 	stop     drain.Stop
 	runTimes drain.RunTimes
@@ -85,7 +88,9 @@
 		kv:          platform.NewStore(settings.KeyValueAddress(), settings.Name()),
 		queues:      newServiceQueues(),
 		teams:       newTeamLimits(),
+		account:     memory.New(settings.Limits().MemoryMB(), settings.Limits().Descriptors()),
 	}
+	e.account.Observe(logger, metrics)
 	voter := settings.Name() + "/" + e.incarnation[:8]
 	e.claims = claim.New(e.kv, voter)
 	e.records = audit.NewWriter(e.kv, voter)
@@ -112,6 +117,7 @@
 // Start opens the listeners and starts the background loops that watch the
 // configuration and maintain sessions to agents.
 func (e *Entry) Start() error {
+	e.account.LimitHeap()
 	peers, err := link.Listen(e.settings.PeerAddress(), e.serveStream, e.logger)
 	if err != nil {
 		return err
@@ -121,11 +127,11 @@
 	adminPages.Handle("POST /leave", e.serveLeave)
 	adminPages.Handle("POST /patches", e.submitPatch)
 	adminPages.Handle("POST /patches/check", e.checkPatch)
-	if e.adminServer, err = adminPages.Listen(e.settings.AdminAddress(), e.logger); err != nil {
+	if e.adminServer, err = adminPages.Listen(e.settings.AdminAddress(), e.logger, webio.WithAccount(e.account)); err != nil {
 		peers.Close()
 		return err
 	}
-	e.callers = webio.NewServer(e, e.logger)
+	e.callers = webio.NewServer(e, e.logger, webio.WithAccount(e.account))
 	if err := e.callers.Listen(e.settings.ListenAddress()); err != nil {
 		peers.Close()
 		e.adminServer.Shutdown(canceledContext())
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -20,6 +20,7 @@
 	LinesLost        = register(1009, "lines_lost", warnLevel, "The log could not be written fast enough; `left_out` lines are missing here.")
 	SettingsReloaded = register(1007, "settings_reloaded", infoLevel, "The settings file was reloaded and its settings are in use.")
 	SettingsRefused  = register(1008, "settings_refused", warnLevel, "The settings file was reloaded and has errors; the previous settings stay in use.")
+	AccountCorrected = register(1010, "account_corrected", errorLevel, "The account of memory had a negative sum, which is a bug; it was set to zero.")
 	HandlerPanicked  = register(1006, "handler_panicked", errorLevel, "Handling a request panicked; the caller got status 500.")
 )
 
@@ -27,8 +28,8 @@
 var (
 	RequestRefused   = register(2001, "request_refused", infoLevel, "A request was refused; `code` tells why and `outcome` whether it may have run.")
 	RequestServed    = register(2002, "request_served", debugLevel, "A request got its complete response.")
-	RequestMalformed = register(2003, "request_malformed", infoLevel, "The bytes on a connection were not an HTTP request; the connection was closed.")
-	RequestTooLarge  = register(2004, "request_too_large", infoLevel, "The header or the body of a request exceeded its size limit.")
+	RequestMalformed = register(2003, "request_malformed", infoLevel, "The bytes on a connection were not an HTTP request; the connection was closed. `count` is the number of such connections since the last such entry.")
+	RequestTooLarge  = register(2004, "request_too_large", infoLevel, "The header or the body of a request exceeded its size limit; `reason` tells which, and `count` how many requests did so since the last such entry.")
 	CallerGone       = register(2005, "caller_gone", infoLevel, "The caller closed its connection; its request was cancelled.")
 	CallerStalled    = register(2006, "caller_stalled", warnLevel, "A caller did not read its response for too long and was cut off.")
 	StreamBroken     = register(2007, "stream_broken", warnLevel, "A response ended early; the caller got an error instead of a clean end.")
@@ -44,6 +45,7 @@
 	PartProbed       = register(2019, "part_probed", infoLevel, "A request is sent though endpoints crashed on requests with a part of its prompt, to learn whether that part is the cause; others wait for the outcome.")
 	RequestSuspected = register(2020, "request_suspected", warnLevel, "An endpoint crashed while it held a request, or may have; `crashes` is the number of such endpoints that are known by now, and `finding` what was learned about the last one.")
 	RequestCleared   = register(2021, "request_cleared", infoLevel, "A request at which `crashes` endpoints had crashed ran to completion, so that these crashes don't count any more.")
+	ClientsLimited   = register(2022, "clients_limited", warnLevel, "Clients, endpoints or peers were refused or cut off; `reason` names the limit and `count` how many there were since the last such entry.")
 	PartCleared      = register(2018, "part_cleared", infoLevel, "Requests with a part of a prompt are no longer refused.")
 	ClaimUnsettled   = register(2010, "claim_unsettled", warnLevel, "The outcome of a claimed request could not be written to the key-value service.")
 )
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -21,6 +21,7 @@
 	"github.com/lentilstand/lentilstand/internal/admin"
 	"github.com/lentilstand/lentilstand/internal/dgram"
 	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/internal/memory"
 	"github.com/lentilstand/lentilstand/internal/meter"
 	"github.com/lentilstand/lentilstand/internal/prefs"
 	"github.com/lentilstand/lentilstand/internal/webio"
@@ -52,6 +53,7 @@
 	settings prefs.Rank
 	logger   *zap.Logger
 	meter    *meter.Meter
+	account  *memory.Account
 	rank     *platform.RankClient
 	socket   *dgram.Socket
 	admin    *webio.Server
@@ -93,21 +95,24 @@
 		settings:    settings,
 		logger:      logger,
 		meter:       metrics,
+		account:     memory.New(settings.Limits().MemoryMB(), settings.Limits().Descriptors()),
 		rank:        platform.NewRankClient(settings.EndpointAddress()),
 		subscribers: make(map[netip.AddrPort]time.Time),
 	}
+	a.account.Observe(logger, metrics)
 	a.leader = newLeader(a, metrics)
 	return a, nil
 }
 
 // Start starts to listen and to report.
 func (a *Agent) Start() error {
+	a.account.LimitHeap()
 	socket, err := dgram.Listen(a.settings.PeerAddress(), a.handleDatagram, a.logger)
 	if err != nil {
 		return err
 	}
 	a.socket = socket
-	a.admin = webio.NewServer(admin.New(a, a.meter), a.logger)
+	a.admin = webio.NewServer(admin.New(a, a.meter), a.logger, webio.WithAccount(a.account))
 	if err := a.admin.Listen(a.settings.AdminAddress()); err != nil {
 		event.ListenFailed.Log(a.logger, event.Error(err))
 		return err
--- a/internal/webio/conn.go
+++ b/internal/webio/conn.go
@@ -12,9 +12,7 @@
 	"syscall"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
-
-	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/internal/memory"
 )
 
 // clientConn is a connection from a client.
@@ -27,6 +25,10 @@
 	// draining reports whether the server is shutting down.
 	draining bool
 	closed   bool
+	// evicted reports whether the connection has to end because memory or descriptors are short.
+	evicted bool
+	// holder is what the connection holds of the account, nil until the server has opened it.
+	holder *memory.Holder
 
 	// ahead holds bytes that were read while a request was handled and that Read
 	// returns next.
@@ -82,6 +84,22 @@
 	}
 }
 
+// evict interrupts reads and writes. The goroutine that serves the connection then ends it.
+func (c *clientConn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evicted = true
+	_ = c.SetDeadline(pastDeadline)
+}
+
+// setWriteDeadline sets the deadline of the next write, and reports whether it may start.
+func (c *clientConn) setWriteDeadline(timeout time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.SetWriteDeadline(time.Now().Add(timeout))
+	return !c.evicted
+}
+
 func (c *clientConn) setActive(active bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -96,6 +114,8 @@
 	defer c.mu.Unlock()
 	deadline := time.Now().Add(IdleTimeout)
 	switch {
+	case c.evicted:
+		deadline = pastDeadline
 	case p.inRequest():
 		deadline = p.started.Add(ReadTimeout)
 	case c.draining:
@@ -112,7 +132,7 @@
 		cancel()
 		return func() {}
 	}
-	_ = c.SetReadDeadline(time.Time{})
+	c.clearReadDeadline()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -126,6 +146,15 @@
 	}
 }
 
+// clearReadDeadline removes the deadline of reads unless the connection was evicted.
+func (c *clientConn) clearReadDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.evicted {
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
 // hasDisconnected reports whether the connection has ended and all bytes before its end
 // have been read.
 func (c *clientConn) hasDisconnected() bool {
@@ -207,13 +236,11 @@
 // linger closes the sending side and discards what the client still sends, as long as
 // something arrives. Otherwise closing the connection with unread bytes would reset it
 // before the client has read the response.
-func (c *clientConn) linger() {
+func (c *clientConn) linger(buffer []byte) {
 	_ = c.CloseWrite()
-	discarded := make([]byte, readBufferBytes)
 	start := time.Now()
-	for left := lingerBytes; left > 0 && time.Since(start) < maxLinger; {
-		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-		n, err := c.TCPConn.Read(discarded)
+	for left := lingerBytes; left > 0 && time.Since(start) < maxLinger && c.setLingerDeadline(); {
+		n, err := c.TCPConn.Read(buffer)
 		if err != nil {
 			return
 		}
@@ -221,163 +248,11 @@
 	}
 }
 
-// rejection is the error response to a request that isn't passed to the handler.
-type rejection struct {
-	status  int
-	code    string
-	message string
-	event   event.Event
-	// retryAfter is when the client may retry, zero if a retry doesn't help.
-	retryAfter time.Duration
-}
-
-// processor checks the size limits of requests between the parser and nbhttp's own
-// processor.
-type processor struct {
-	nbhttp.Processor
-	conn *clientConn
-	// started is when the first byte of the current request arrived, zero between
-	// requests.
-	started         time.Time
-	headerBytes     int
-	inBody          bool
-	expectsContinue bool
-	// rejected is the response if the current request's body isn't accepted.
-	rejected *rejection
-	// bodies is the budget of all connections, bodyBytes the size of the part of the body
-	// that has been parsed, and reserved what is taken from the budget for the body.
-	bodies              *ByteBudget
-	bodyBytes, reserved int64
-}
-
-func newProcessor(conn *clientConn, bodies *ByteBudget) *processor {
-	return &processor{Processor: nbhttp.NewServerProcessor(), conn: conn, bodies: bodies}
-}
-
-// reserveBody takes the memory for a body from the budget, and rejects the request if
-// there is none.
-func (p *processor) reserveBody(size int64) {
-	missing := size - p.reserved
-	if size <= smallBodyBytes || missing <= 0 || p.rejected != nil {
-		return
-	}
-	if !p.bodies.Take(missing, maxAllBodiesBytes) {
-		p.rejected = noMemory()
-		return
-	}
-	p.reserved += missing
-}
-
-func (p *processor) releaseBody() {
-	p.bodies.Release(p.reserved)
-	p.bodyBytes, p.reserved = 0, 0
-}
-
-// received counts n bytes that have arrived.
-func (p *processor) received(n int) {
-	if !p.inRequest() {
-		p.started = time.Now()
-	}
-	if !p.inBody {
-		p.headerBytes += n
-	}
-}
-
-// inRequest reports whether a part of a request has arrived.
-func (p *processor) inRequest() bool { return !p.started.IsZero() }
-
-// rejectionFor returns the response to a request that exceeds a limit or that the
-// parser failed on with err, nil if the request is acceptable.
-func (p *processor) rejectionFor(err error) *rejection {
-	switch {
-	case p.rejected != nil:
-		return p.rejected
-	case errors.Is(err, nbhttp.ErrTooLong):
-		return bodyTooLarge()
-	case err != nil:
-		return &rejection{
-			status:  http.StatusBadRequest,
-			code:    "malformed_request",
-			message: "the request can't be read: " + err.Error(),
-			event:   event.RequestMalformed,
-		}
-	case !p.inBody && p.headerBytes > MaxHeaderBytes+readBufferBytes:
-		return headerTooLarge()
-	}
-	return nil
-}
-
-func headerTooLarge() *rejection {
-	return &rejection{
-		status:  http.StatusRequestHeaderFieldsTooLarge,
-		code:    "header_too_large",
-		message: fmt.Sprintf("the header is larger than %d bytes", MaxHeaderBytes),
-		event:   event.RequestTooLarge,
-	}
-}
-
-func bodyTooLarge() *rejection {
-	return &rejection{
-		status:  http.StatusRequestEntityTooLarge,
-		code:    "body_too_large",
-		message: fmt.Sprintf("the body is larger than %d bytes", MaxBodyBytes),
-		event:   event.RequestTooLarge,
-	}
-}
-
-// noMemory is the rejection of a body that would take more memory than all requests may.
-func noMemory() *rejection {
-	return &rejection{
-		status:     http.StatusServiceUnavailable,
-		code:       "too_many_bodies",
-		message:    "the bodies of other requests take all memory for them",
-		event:      event.RequestRefused,
-		retryAfter: time.Second,
-	}
-}
-
-// OnHeader records whether the client expects 100 Continue before it sends the body.
-func (p *processor) OnHeader(parser *nbhttp.Parser, key, value string) {
-	if key == "Expect" && value == "100-continue" {
-		p.expectsContinue = true
-	}
-	p.Processor.OnHeader(parser, key, value)
-}
-
-// OnContentLength is called at the end of the header.
-func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
-	p.inBody = true
-	if length > MaxBodyBytes {
-		p.rejected = bodyTooLarge()
-	}
-	p.reserveBody(int64(length))
-	if p.expectsContinue && p.rejected == nil {
-		_, _ = p.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
-	}
-	p.Processor.OnContentLength(parser, length)
-}
-
-// OnBody counts the body of a request that is sent in chunks.
-func (p *processor) OnBody(parser *nbhttp.Parser, data []byte) error {
-	p.bodyBytes += int64(len(data))
-	if p.reserveBody(p.bodyBytes); p.rejected != nil {
-		return errRejected
-	}
-	return p.Processor.OnBody(parser, data)
-}
-
-// errRejected ends the parsing of a request that is rejected.
-var errRejected = errors.New("the request is rejected")
-
-// OnComplete passes on a complete request unless it was rejected.
-func (p *processor) OnComplete(parser *nbhttp.Parser) {
-	if p.rejected != nil {
-		return
-	}
-	p.Processor.OnComplete(parser)
-	p.releaseBody()
-	p.started = time.Time{}
-	p.headerBytes = 0
-	p.inBody = false
-	p.expectsContinue = false
+// setLingerDeadline sets the deadline of the next read after a rejection, and reports whether the
+// connection may still wait for the client.
+func (c *clientConn) setLingerDeadline() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	return !c.evicted
 }
--- a/internal/webio/exchange.go
+++ b/internal/webio/exchange.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"net/http/httputil"
 	"strconv"
@@ -15,6 +16,8 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"github.com/lentilstand/lentilstand/internal/memory"
 )
 
 // ErrClientGone is returned if a response can't be written because the client has
@@ -26,7 +29,7 @@
 	server   *Server
 	response *nbhttp.Response
 	request  *http.Request
-	body     [][]byte
+	body     []byte
 	conn     *clientConn
 	ctx      context.Context
 	// replied reports whether a response has been started or given up.
@@ -40,8 +43,8 @@
 // Context returns a context that is canceled when the client disconnects.
 func (e *Exchange) Context() context.Context { return e.ctx }
 
-// Body returns a copy of the request's body.
-func (e *Exchange) Body() []byte { return bytes.Join(e.body, nil) }
+// Body returns the request's body, which must not be modified.
+func (e *Exchange) Body() []byte { return e.body }
 
 // closeAfterReply makes the connection close after the response.
 func (e *Exchange) closeAfterReply() { e.request.Close = true }
@@ -61,10 +64,13 @@
 	if err != nil {
 		return err
 	}
+	// The body isn't copied behind the head, since a client may take long to read it.
+	message := net.Buffers{head}
 	if e.request.Method != http.MethodHead {
-		head = append(head, body...)
+		message = append(message, body)
+		e.conn.holder.Charge(int64(len(body)))
 	}
-	_, err = deadlineWriter{conn: e.conn}.Write(head)
+	err = deadlineWriter{conn: e.conn}.writeAll(&message)
 	if closing || err != nil {
 		_ = e.conn.Close()
 	}
@@ -165,6 +171,7 @@
 	buffer := bufio.NewWriterSize(deadlineWriter{conn: e.conn}, streamBufferBytes)
 	stream := &Stream{conn: e.conn, buffer: buffer, chunks: httputil.NewChunkedWriter(buffer), closing: closing}
 	e.stream = stream
+	e.conn.holder.Charge(streamBytes)
 	// The head is sent together with the first chunk.
 	if _, err := buffer.Write(head); err != nil {
 		_ = e.conn.Close()
@@ -193,12 +200,24 @@
 }
 
 func (w deadlineWriter) Write(data []byte) (int, error) {
-	_ = w.conn.SetWriteDeadline(time.Now().Add(WriteTimeout))
-	n, err := w.conn.Write(data)
-	if err != nil {
-		return n, eris.Wrap(ErrClientGone, err.Error())
+	buffers := net.Buffers{data}
+	if err := w.writeAll(&buffers); err != nil {
+		return len(data) - len(bytes.Join(buffers, nil)), err
+	}
+	return len(data), nil
+}
+
+// writeAll writes buffers, of which it leaves what isn't written.
+func (w deadlineWriter) writeAll(buffers *net.Buffers) error {
+	w.conn.holder.SetState(memory.Writing)
+	defer w.conn.holder.SetState(memory.Handling)
+	if !w.conn.setWriteDeadline(WriteTimeout) {
+		return eris.Wrap(ErrClientGone, "the connection was cut off for lack of memory")
+	}
+	if _, err := buffers.WriteTo(w.conn.TCPConn); err != nil {
+		return eris.Wrap(ErrClientGone, err.Error())
 	}
-	return n, nil
+	return nil
 }
 
 // Stream is a chunked response. The final chunk is sent only if the stream ends
--- a/internal/webio/server.go
+++ b/internal/webio/server.go
@@ -5,7 +5,8 @@
 // on a dead one.
 //
 // Each connection has one goroutine with blocking reads and writes, so a slow reader
-// takes up no more memory than its socket buffer.
+// takes up no more memory than its socket buffer and the response that is being written. The
+// account of the process (internal/memory) limits what all connections hold together.
 package webio
 
 import (
@@ -23,19 +24,18 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/internal/memory"
 )
 
 // Limits and timeouts of a connection.
 const (
-	// MaxHeaderBytes limits the size of a request's header. A header that isn't complete
-	// is rejected once it exceeds the limit by more than readBufferBytes.
+	// MaxHeaderBytes limits the size of a request's header.
 	MaxHeaderBytes = 32 << 10
 	// MaxBodyBytes limits the size of a request's body.
 	MaxBodyBytes = 4 << 20
-	// maxAllBodiesBytes limits the size of the bodies of all requests together, apart from
-	// those of up to smallBodyBytes. A body takes up to four times its size in memory.
-	maxAllBodiesBytes = 32 << 20
-	smallBodyBytes    = 64 << 10
+	// smallBodyBytes is the size up to which a body doesn't count among the large ones, whose
+	// sizes the account limits in sum.
+	smallBodyBytes = 64 << 10
 	// IdleTimeout limits the time that a connection waits for its next request.
 	IdleTimeout = 60 * time.Second
 	// ReadTimeout limits the time to receive a request.
@@ -91,7 +91,7 @@
 	handler Handler
 	logger  *zap.Logger
 	engine  *nbhttp.Engine
-	bodies  ByteBudget
+	account *memory.Account
 
 	mu                 sync.Mutex
 	listener           *net.TCPListener
@@ -103,10 +103,25 @@
 	wait sync.WaitGroup
 }
 
+// Option changes a server.
+type Option func(*Server)
+
+// WithAccount makes a server share the account of its process. A server without one has an
+// account of its own with default limits.
+func WithAccount(account *memory.Account) Option {
+	return func(s *Server) { s.account = account }
+}
+
 // NewServer returns a server that isn't listening yet.
-func NewServer(handler Handler, logger *zap.Logger) *Server {
+func NewServer(handler Handler, logger *zap.Logger, options ...Option) *Server {
 	logging.SetLevel(logging.LevelNone)
 	s := &Server{handler: handler, logger: logger, conns: make(map[*clientConn]bool)}
+	for _, option := range options {
+		option(s)
+	}
+	if s.account == nil {
+		s.account = memory.New(0, 0)
+	}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Handler:         http.HandlerFunc(s.handleRequest),
 		ReadLimit:       MaxHeaderBytes + MaxBodyBytes + readBufferBytes,
@@ -195,45 +210,68 @@
 func (s *Server) serveConn(c *clientConn) {
 	defer s.wait.Done()
 	defer func() { _ = c.Close() }()
+	if c.holder = s.account.Open(connBytes, c.evict); c.holder == nil {
+		return
+	}
+	// The descriptor is free before the account counts it as free.
+	defer c.holder.Close()
+	defer func() { _ = c.Close() }()
 	if !s.track(c) {
 		return
 	}
 	defer s.untrack(c)
-	processor := newProcessor(c, &s.bodies)
-	defer processor.releaseBody()
-	parser := nbhttp.NewParser(c, s.engine, processor, false, nil)
-	defer parser.CloseAndClean(nil)
+	processor := newProcessor(c, s.engine)
+	defer processor.release()
 	buffer := make([]byte, readBufferBytes)
 	for {
 		c.setNextReadDeadline(processor)
 		n, err := c.Read(buffer)
 		if err != nil {
+			s.endEvicted(c, processor)
 			return
 		}
-		processor.received(n)
+		c.holder.Received(n)
 		// After its first byte a request isn't interrupted by Shutdown.
 		c.setActive(true)
-		err = parser.Parse(buffer[:n])
+		rejection, err := processor.process(buffer[:n])
 		c.setActive(processor.inRequest())
-		if rejection := processor.rejectionFor(err); rejection != nil {
-			s.rejectRequest(c, rejection)
+		switch {
+		case rejection != nil:
+			processor.release()
+			s.rejectRequest(c, rejection, buffer)
 			return
-		}
-		// A response that began before a shutdown keeps the connection open, and the next
-		// request may be under way already.
-		if c.isClosed() {
+		case err != nil:
+			s.endEvicted(c, processor)
+			return
+		case c.isClosed():
+			// A response that began before a shutdown keeps the connection open, and the next
+			// request may be under way already.
 			return
 		}
 	}
 }
 
-// rejectRequest logs and sends a rejection. The connection must be closed afterwards.
-func (s *Server) rejectRequest(c *clientConn, rejection *rejection) {
-	rejection.event.Log(s.logger,
-		zap.String("caller", c.RemoteAddr().String()),
-		zap.String("reason", rejection.message))
+// endEvicted tells the client of an evicted connection to retry if the head of its request is
+// complete.
+func (s *Server) endEvicted(c *clientConn, processor *processor) {
+	complete := processor.inBody
+	processor.release()
+	if c.holder.IsEvicted() && complete {
+		c.writeRejection(noMemory(errNoMemory.Error()))
+	}
+}
+
+// rejectRequest counts and sends a rejection. The connection must be closed afterwards. Buffer
+// is for what the client still sends.
+func (s *Server) rejectRequest(c *clientConn, rejection *rejection, buffer []byte) {
+	c.holder.SetState(memory.Closing)
+	if rejection.reason != "" {
+		s.account.Count(rejection.reason,
+			zap.String("caller", c.RemoteAddr().String()),
+			zap.String("message", rejection.message))
+	}
 	c.writeRejection(rejection)
-	c.linger()
+	c.linger(buffer)
 }
 
 // handleRequest handles a complete request. It is called by nbhttp.
@@ -243,8 +281,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	exchange := &Exchange{server: s, response: response, request: r, conn: c, ctx: ctx}
-	if body, ok := r.Body.(*nbhttp.BodyReader); ok {
-		exchange.body = body.RawBodyBuffers()
+	if processor, ok := response.Parser.Processor.(*processor); ok {
+		exchange.body = processor.body
 	}
 	stop := c.watchDisconnect(cancel)
 	defer stop()
