--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -424,6 +424,10 @@
 	if ok {
 		a.bodies += missing
 		h.body += missing
+	} else {
+		// The request is rejected. Its part is free at once, so that others aren't rejected too.
+		a.bodies -= h.body
+		h.body = 0
 	}
 	a.mu.Unlock()
 	a.finishEviction(ReasonBodies, evicted)
@@ -505,6 +509,18 @@
 	h.touch()
 }
 
+// Begin sets the state to Handling and reports true, unless the holder was evicted. A request must
+// not be handled after that, since its response could not be sent.
+func (h *Holder) Begin() bool {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	if h.evicted.Load() {
+		return false
+	}
+	h.SetState(Handling)
+	return true
+}
+
 // Received counts bytes that have arrived.
 func (h *Holder) Received(bytes int) {
 	if h.received += bytes; h.received >= progressBytes {
--- a/internal/webio/limits_test.go
+++ b/internal/webio/limits_test.go
@@ -99,3 +99,57 @@
 	}
 	return lines.String()
 }
+
+// TestLargestRequestIsServed guards against an account of a small host that has no room for a
+// single request of legal size.
+func TestLargestRequestIsServed(t *testing.T) {
+	server := webio.NewServer(webio.HandlerFunc(func(exchange *webio.Exchange) {
+		exchange.Reply(http.StatusOK, nil, fmt.Append(nil, len(exchange.Body())))
+	}), zap.NewNop(), webio.WithAccount(memory.New(48, 128)))
+	require.NoError(t, server.Listen("127.0.0.1:0"))
+	t.Cleanup(func() { server.Shutdown(ended()) })
+	body := strings.Repeat("b", webio.MaxBodyBytes)
+	for _, rest := range []string{
+		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+	} {
+		start := "POST / HTTP/1.1\r\nConnection: close\r\nX: "
+		start += strings.Repeat("x", webio.MaxHeaderBytes-len(start)-100) + "\r\n"
+		reply := exchangeBytes(t, server, []byte(start+rest))
+		require.True(t, strings.HasSuffix(reply, "\r\n\r\n"+fmt.Sprint(len(body))), reply)
+	}
+}
+
+// TestEvictedClientIsToldToRetry guards against clients with a complete head that are cut off
+// without being told that their request has not run.
+func TestEvictedClientIsToldToRetry(t *testing.T) {
+	var handled atomic.Int64
+	account := memory.New(64, 128)
+	server := webio.NewServer(webio.HandlerFunc(func(*webio.Exchange) { handled.Add(1) }), zap.NewNop(), webio.WithAccount(account))
+	require.NoError(t, server.Listen("127.0.0.1:0"))
+	t.Cleanup(func() { server.Shutdown(ended()) })
+	dial := func(text string) net.Conn {
+		conn, err := net.Dial("tcp", server.Address())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = io.WriteString(conn, text)
+		require.NoError(t, err)
+		return conn
+	}
+	stalled, headless := dial("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nbod"), dial("POST / HTTP/1.1\r\nX:")
+	time.Sleep(memory.StallTimeout + 100*time.Millisecond)
+	for range account.Conns() {
+		dial("G")
+	}
+	reply := func(conn net.Conn) string {
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		text, _ := io.ReadAll(conn)
+		return string(text)
+	}
+	told := reply(stalled)
+	require.Contains(t, told, "HTTP/1.1 503 ")
+	require.Contains(t, told, "Retry-After: 1.000\r\n")
+	require.Contains(t, told, "Lentilstand-Outcome: not_run\r\n")
+	require.Empty(t, reply(headless))
+	require.Zero(t, handled.Load())
+}
--- a/internal/webio/processor.go
+++ b/internal/webio/processor.go
@@ -334,7 +334,10 @@
 	if p.rejected != nil {
 		return
 	}
-	p.holder.SetState(memory.Handling)
+	if !p.holder.Begin() {
+		p.rejected = noMemory(errNoMemory.Error())
+		return
+	}
 	p.Processor.OnComplete(parser)
 	p.holder.Release()
 	p.holder.SetState(memory.Idle)
