--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -143,25 +143,25 @@
 // limit.
 func (r *Ramp) Rate() float64 { return r.rate }
 
+// IsLowered reports whether the rate was lowered lately.
+func (r *Ramp) IsLowered(now time.Time) bool {
+	return !r.badAt.IsZero() && now.Sub(r.badAt) < quietTime
+}
+
 // Allows reports whether the entry may send a request. Relaxed is set if no other endpoint
 // takes the request.
-func (r *Ramp) Allows(now time.Time, relaxed bool) bool { return !now.Before(r.NextSend(relaxed)) }
-
-// NextSend returns the earliest time at which the entry may send a request, zero without a
-// limit. Relaxed is as for Allows.
-func (r *Ramp) NextSend(relaxed bool) time.Time {
+func (r *Ramp) Allows(now time.Time, relaxed bool) bool {
 	if !r.IsActive() {
-		return time.Time{}
+		return true
 	}
-	interval, phase := r.interval(1), r.phase
+	interval := r.interval(1)
 	if relaxed {
-		// Other endpoints aren't free, so requests already arrive at the entries apart.
-		interval, phase = r.interval(relaxedFactor), r.phase/relaxedFactor
+		interval = r.interval(relaxedFactor)
 	}
 	if r.lastSend.IsZero() {
-		return r.startedAt.Add(time.Duration(phase * float64(interval)))
+		return !now.Before(r.startedAt.Add(time.Duration(r.phase * float64(interval))))
 	}
-	return r.lastSend.Add(interval)
+	return now.Sub(r.lastSend) >= interval
 }
 
 // RecordSend counts a request that is sent to the endpoint.
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -61,8 +61,8 @@
 	}
 	timer := time.NewTimer(req.MaxWait)
 	defer timer.Stop()
-	if wait := s.timeToLimitedSend(req); wait > 0 && wait < req.MaxWait {
-		// No report or completion tells that a limit or a ramp allows the next request.
+	if wait := s.timeToLimitedSend(); wait > 0 && wait < req.MaxWait {
+		// No report or completion tells that a limit allows the next request.
 		defer time.AfterFunc(wait, s.assignDue).Stop()
 	}
 	select {
@@ -92,15 +92,14 @@
 }
 
 // timeToLimitedSend returns the time until the first endpoint takes a request, if all of
-// them have limits or ramps, and otherwise zero.
-func (s *Service) timeToLimitedSend(req Request) time.Duration {
+// them have limits, and otherwise zero.
+func (s *Service) timeToLimitedSend() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
 	if _, next := s.limitedRate(nil); next != nil {
-		return next.limit.nextSend.Sub(now)
+		return next.limit.nextSend.Sub(s.now())
 	}
-	return s.timeToRamp(req.Tried, now)
+	return 0
 }
 
 // assignDue assigns queued requests that can be assigned now.
@@ -129,9 +128,6 @@
 		}
 		return nil
 	}
-	if verdict == pick.Full && ahead == 0 && s.isRampDueWithin(req, now) {
-		return nil
-	}
 	if verdict == pick.NoneAvailable || ahead > 0 && !s.outageStart.IsZero() {
 		expectedEnd := s.outageStart.Add(s.expectedOutage())
 		if !req.ClientRetry || s.outageStart.IsZero() || len(req.Tried) > 0 || expectedEnd.Sub(now) > maxWait {
--- a/pkg/sched/ramp.go
+++ b/pkg/sched/ramp.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,6 +18,11 @@
 	// rampColdShare is the same for the service's cold rate, which an endpoint may have again
 	// without notice. Half of it leaves room for requests that entries send together.
 	rampColdShare = 0.5
+	// unsoundFailures is the failure score from which on an endpoint isn't sound: that of one
+	// failure until two seconds later.
+	unsoundFailures = 0.5
+	// refusalTime is how long an endpoint that refused this entry's last request isn't sound.
+	refusalTime = 2 * time.Second
 	// defaultRunTime is the expected time of a request before the service has answered one.
 	defaultRunTime = 100 * time.Millisecond
 	// defaultSlots is the expected number of slots of an endpoint that names none.
@@ -62,6 +66,10 @@
 		return
 	}
 	e := assignment.endpoint
+	e.refusedAt = time.Time{}
+	if result == pace.Refused {
+		e.refusedAt = now
+	}
 	before := e.ramp.Rate()
 	starts := e.ramp.Observe(pace.Observation{
 		Result: result, SentAt: assignment.assignedAt, At: now, Load: float64(e.reported) / float64(max(1, e.slots)),
@@ -74,56 +82,48 @@
 	}
 }
 
-// limitRamps throttles the endpoints whose ramps allow no request now. If no other endpoint has
-// a free slot, the ramps allow more. The caller must hold s.mu.
+// limitRamps throttles the endpoints whose ramps allow no request now. If no sound endpoint has a
+// free slot, the ramps allow more, and an entry may have one request at each endpoint that has
+// answered well. If an endpoint is the only sound one, it gets requests for its slots: the
+// alternative would be to refuse them, or to send them to endpoints that fail. The caller
+// must hold s.mu.
 func (s *Service) limitRamps(loads []pick.Load, now time.Time) {
 	if s.isModelService {
 		return
 	}
-	limited, free := false, false
+	limited, sound, free := false, 0, false
 	for i, e := range s.endpoints {
 		load := &loads[i]
-		switch {
-		case !e.ramp.Allows(now, false):
-			limited = true
-		case !load.Unavailable && !load.Ejected && !load.Tried && !load.Throttled:
-			free = free || load.Slots <= 0 || load.InFlight() < load.Slots
+		allows := e.ramp.Allows(now, false)
+		limited = limited || !allows
+		if e.isSound(load, now) {
+			sound++
+			free = free || allows && hasFreeSlot(load)
 		}
 	}
 	if !limited {
 		return
 	}
 	for i, e := range s.endpoints {
-		loads[i].Throttled = loads[i].Throttled || !e.ramp.Allows(now, !free)
+		load := &loads[i]
+		var allowed bool
+		switch {
+		case free:
+			allowed = e.ramp.Allows(now, false)
+		case sound == 0 || sound == 1 && e.isSound(load, now):
+			allowed = hasFreeSlot(load)
+		default:
+			allowed = e.ramp.Allows(now, true) || e.own == 0 && hasFreeSlot(load) && !e.ramp.IsLowered(now)
+		}
+		load.Throttled = load.Throttled || e.ramp.IsActive() && !allowed
 	}
 }
 
-// isRampDueWithin reports whether a ramp, which keeps the request from an endpoint with a free slot,
-// allows it within the request's MaxWait. The caller must hold s.mu.
-func (s *Service) isRampDueWithin(req Request, now time.Time) bool {
-	if req.MaxWait <= 0 {
-		return false
-	}
-	wait := s.timeToRamp(req.Tried, now)
-	return wait > 0 && wait <= req.MaxWait
+// isSound reports whether an endpoint with the given load can get a request now, and has neither
+// failed nor refused one lately.
+func (e *endpoint) isSound(load *pick.Load, now time.Time) bool {
+	return !load.Unavailable && !load.Ejected && !load.Tried && !load.Throttled && load.Failures < unsoundFailures &&
+		(e.refusedAt.IsZero() || now.Sub(e.refusedAt) >= refusalTime)
 }
 
-// timeToRamp returns the time until the first endpoint that has a free slot is allowed a request by
-// its ramp, or zero if ramps keep the request from no endpoint. The caller must hold s.mu.
-func (s *Service) timeToRamp(tried map[string]bool, now time.Time) time.Duration {
-	if s.isModelService || !slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.ramp.IsActive() }) {
-		return 0
-	}
-	shortest := time.Duration(0)
-	loads := s.loads(tried, now)
-	for i, e := range s.endpoints {
-		load := &loads[i]
-		if load.Unavailable || load.Tried || !e.ramp.IsActive() || load.Slots > 0 && load.InFlight() >= load.Slots {
-			continue
-		}
-		if wait := e.ramp.NextSend(true).Sub(now); wait > 0 && (shortest == 0 || wait < shortest) {
-			shortest = wait
-		}
-	}
-	return shortest
-}
+func hasFreeSlot(load *pick.Load) bool { return load.Slots <= 0 || load.InFlight() < load.Slots }
--- a/pkg/sched/speed.go
+++ b/pkg/sched/speed.go
@@ -13,7 +13,7 @@
 	// responseTimeHalfLife is the half-life of a response time. An endpoint that gets few
 	// requests, as it was slow, gets some again after two or three half-lives, and shows
 	// whether it has recovered.
-	responseTimeHalfLife = 5 * time.Second
+	responseTimeHalfLife = 3 * time.Second
 	// priorResponses is the number of responses, at the mean time of the service, that are
 	// assumed beside those of the endpoint. The work of requests differs, so a single
 	// response says little. An entry of many gets about one in the half-life.
--- a/pkg/sched/speed_test.go
+++ b/pkg/sched/speed_test.go
@@ -45,3 +45,42 @@
 		require.Nil(t, w)
 	}
 }
+
+// TestOnlySoundEndpointGetsRequests guards against a ramp that makes an entry refuse requests, or
+// send them to an endpoint that leaves or fails, while an idle endpoint could serve them.
+func TestOnlySoundEndpointGetsRequests(t *testing.T) {
+	for _, state := range []string{"leaves", "fails", "refuses"} {
+		s := New("plain", "here", zap.NewNop())
+		specs := []*table.Endpoint{table.NewEndpoint(table.EndpointSpec{ID: "old", Service: "plain", Slots: 6})}
+		s.Update(specs, false, func(string) bool { return false }, 1)
+		assignment, _, err := s.Admit(Request{})
+		require.NoError(t, err)
+		switch state {
+		case "leaves":
+			s.RecordLeaving(assignment)
+		case "fails":
+			s.RecordFailure(assignment, "test")
+		default:
+			s.RecordGroupRefusal(assignment)
+		}
+		specs = append(specs, table.NewEndpoint(table.EndpointSpec{ID: "new", Service: "plain", Slots: 6}))
+		s.Update(specs, false, func(string) bool { return false }, 2)
+		require.True(t, s.endpoints[1].ramp.IsActive())
+		s.Release(assignment)
+		assignment = Assignment{}
+		for range 6 {
+			require.False(t, s.loads(nil, s.now())[1].Throttled, state)
+			next, w, err := s.Admit(Request{})
+			require.NoError(t, err)
+			require.Nil(t, w)
+			if state != "refuses" {
+				require.Equal(t, "new", next.Endpoint().ID(), "an endpoint that has refused once is still used")
+			}
+			// The caller has the response before the request before it is released.
+			if assignment.endpoint != nil {
+				s.Release(assignment)
+			}
+			assignment = next
+		}
+	}
+}
