--- a/pkg/sched/endpoint.go
+++ b/pkg/sched/endpoint.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/lentilstand/lentilstand/pkg/pace"
 	"github.com/lentilstand/lentilstand/pkg/table"
 )
 
@@ -54,6 +55,9 @@
 	pace float64
 	// exclusion is whether the endpoint, a rank, is excluded because it is slow.
 	exclusion exclusion
+	// ramp is the pace at which the endpoint, if it belongs to a plain service, gets requests
+	// after it has started or recovered.
+	ramp pace.Ramp
 	// failures is the failure score as of failuresUpdatedAt.
 	failures          float64
 	failuresUpdatedAt time.Time
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/pkg/pace"
 	"github.com/lentilstand/lentilstand/pkg/pick"
 	"github.com/lentilstand/lentilstand/pkg/table"
 )
@@ -265,6 +266,7 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	updated := make([]*endpoint, 0, len(specs))
+	var started []*endpoint
 	for _, spec := range specs {
 		e := s.find(spec.ID())
 		if e == nil || e.spec.Incarnation() != spec.Incarnation() {
@@ -272,10 +274,15 @@
 			if spec.ColdFor() > 0 {
 				e.coldUntil = now.Add(spec.ColdFor())
 			}
+			// Endpoints that this entry finds when it starts have usually run before.
+			if len(s.endpoints) > 0 || spec.ColdFor() > 0 {
+				started = append(started, e)
+			}
 			event.EndpointAdded.Log(s.logger, zap.String("service", s.name), zap.String("endpoint", spec.ID()),
 				zap.Stringer("address", spec.Address()), zap.Duration("cold_for", spec.ColdFor()))
 		} else if spec.ColdFor() > 0 && spec.ColdFor() != e.spec.ColdFor() {
 			e.coldUntil, e.coldSendAfter = now.Add(spec.ColdFor()), time.Time{}
+			started = append(started, e)
 			event.EndpointCold.Log(s.logger, zap.String("endpoint", spec.ID()), zap.Duration("cold_for", spec.ColdFor()))
 		}
 		if spec.Draining() && !e.draining {
@@ -301,6 +308,9 @@
 	}
 	s.isModelService = isModelService
 	s.updateSubset(now)
+	for _, e := range started {
+		s.startRamp(e, now, "started")
+	}
 	s.assignWaiting(now)
 }
 
@@ -395,6 +405,7 @@
 		}
 	}
 	s.limitSlowRanks(loads, now)
+	s.limitRamps(loads, now)
 	return loads
 }
 
@@ -476,6 +487,7 @@
 	}
 	e.own++
 	e.takeFromLimit(now)
+	e.ramp.RecordSend(now)
 	s.sends.add(now)
 	if e.isCold(now) {
 		e.coldSends = append(e.coldSends, now)
@@ -483,12 +495,13 @@
 	return Assignment{endpoint: e, spec: e.spec, assignedAt: now}, pick.Chosen
 }
 
-// RecordGroupRefusal records that a rank refused a request. If this entry's requests
-// don't fill the rank's slots, it is taken to have refused because its group isn't
+// RecordGroupRefusal records that an endpoint refused a request. If it is a rank, and this
+// entry's requests don't fill its slots, it is taken to have refused because its group isn't
 // running. Requests of other entries aren't considered.
 func (s *Service) RecordGroupRefusal(assignment Assignment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.observe(assignment, pace.Refused, s.now())
 	if s.isModelService && assignment.endpoint.own < assignment.endpoint.slots {
 		s.groupRefusedAt = s.now()
 	}
@@ -517,8 +530,10 @@
 		s.meanRunTime += time.Duration(runTimeWeight * float64(runTime-s.meanRunTime))
 	}
 	e.failures, e.failuresUpdatedAt = e.failureScore(now)*0.7, now
+	s.observe(assignment, pace.Served, now)
 	if e.ejected && e.failures < restoreThreshold {
 		e.ejected = false
+		s.startRamp(e, now, "serves again")
 		event.EndpointTrusted.Log(s.logger, zap.String("endpoint", e.spec.ID()))
 	}
 }
@@ -527,8 +542,9 @@
 func (s *Service) RecordFailure(assignment Assignment, reason string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := assignment.endpoint
-	e.addFailure(1, s.now())
+	e, now := assignment.endpoint, s.now()
+	e.addFailure(1, now)
+	s.observe(assignment, pace.Failed, now)
 	if !e.ejected && e.failures >= ejectThreshold {
 		e.ejected = true
 		event.EndpointShunned.Log(s.logger, zap.String("endpoint", e.spec.ID()), zap.String("reason", reason),
@@ -542,6 +558,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	assignment.endpoint.addFailure(errorResponseWeight, s.now())
+	s.observe(assignment, pace.Failed, s.now())
 }
 
 // RecordLeaving records that an endpoint has said that it leaves. It gets no more requests
@@ -572,6 +589,7 @@
 		return
 	}
 	e.pausedUntil = until
+	s.startRamp(e, until, "pause")
 	event.EndpointPaused.Log(s.logger, zap.String("endpoint", e.spec.ID()), zap.Duration("pause", pause))
 }
 
@@ -593,6 +611,7 @@
 	for _, e := range s.endpoints {
 		if e.ejected && e.failureScore(now) < restoreThreshold {
 			e.ejected = false
+			s.startRamp(e, now, "failure score decayed")
 			event.EndpointTrusted.Log(s.logger, zap.String("endpoint", e.spec.ID()), zap.String("reason", "failure score decayed"))
 		}
 		if e.notAccepting && e.hasAgentTimedOut(now) {
@@ -640,6 +659,7 @@
 		e.agentsKnown, e.entries = report.AgentsKnown, report.Entries
 		if report.Accepting && e.notAccepting {
 			s.groupRefusedAt = time.Time{}
+			s.startRamp(e, now, "accepts again")
 		}
 		e.notAccepting = !report.Accepting
 		e.pace, e.passInterval = max(1, report.Pace), report.PassInterval
