--- a/pkg/pick/pick.go
+++ b/pkg/pick/pick.go
@@ -24,6 +24,9 @@
 	failureWeight = 3
 )
 
+// usualSlotShare is the share of the slots that is usually taken.
+const usualSlotShare = 0.5
+
 // Load is an entry's knowledge of an endpoint's load and availability.
 type Load struct {
 	// Slots is the number of requests that the endpoint runs concurrently, or zero for
@@ -49,6 +52,9 @@
 	// Pace is how many times slower the endpoint is than its peers; at most 1 if it
 	// isn't slower.
 	Pace float64
+	// Slowness is how many times longer requests take at the endpoint than at the fastest
+	// one, though they slow no other endpoint; 1 or less if they don't.
+	Slowness float64
 	// Local is set if the endpoint is in the entry's data centre.
 	Local bool
 	// Unavailable endpoints get no requests: they are draining, evacuated or unable to
@@ -187,12 +193,13 @@
 
 // isFull reports whether an endpoint with inFlight requests has no room for another one.
 // The room of a slow endpoint is divided by its Pace, as requests there hold up all ranks
-// of its group.
+// of its group. An endpoint with a Slowness has all of its slots, but fewer of its extra
+// requests begin in time.
 func (l *Load) isFull(inFlight, extra int) bool {
 	if l.Slots <= 0 {
 		return false
 	}
-	room := float64(l.Slots + extra)
+	room := float64(l.Slots) + float64(extra)/max(1, l.Slowness)
 	if l.Pace > 1 {
 		room = max(1, room/l.Pace)
 	}
@@ -207,6 +214,12 @@
 		// One more request takes Pace times as long as at another endpoint.
 		score = (score+1)*l.Pace - 1
 	}
+	if l.Slowness > 1 {
+		// While slots are free, requests wait for no others, so the time of one more counts
+		// like the requests that usually run.
+		usual := max(1, usualSlotShare*float64(l.Slots))
+		score = (score+usual)*l.Slowness - usual
+	}
 	if l.Local {
 		score -= localBonus
 	}
--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -22,6 +22,8 @@
 	unavailable.Unavailable, tried.Tried, throttled.Throttled, ejected.Ejected = true, true, true, true
 	slow, idle := fresh(12, 4), fresh(12, 0)
 	slow.Pace, idle.Pace = 5, 5
+	slowPlain, slowFull := fresh(12, 0), fresh(12, 13)
+	slowPlain.Slowness, slowFull.Slowness = 2, 2
 	testCases := []struct {
 		name    string
 		loads   []pick.Load
@@ -35,6 +37,9 @@
 		{name: "a busy one rather than a slow idle one", loads: []pick.Load{idle, fresh(12, 2)}, want: 1, verdict: pick.Chosen},
 		{name: "a slow one has less room", loads: []pick.Load{slow}, want: -1, verdict: pick.Full},
 		{name: "a slow one with room", loads: []pick.Load{idle}, want: 0, verdict: pick.Chosen},
+		{name: "a plain one with free slots rather than a slow idle one", loads: []pick.Load{slowPlain, fresh(12, 4)}, want: 1, verdict: pick.Chosen},
+		{name: "a slow idle plain one rather than a full one", loads: []pick.Load{slowPlain, fresh(12, 14)}, want: 0, verdict: pick.Chosen},
+		{name: "a slow plain one has fewer requests beyond its slots", loads: []pick.Load{slowFull}, want: -1, verdict: pick.Full},
 		{name: "no room", loads: []pick.Load{fresh(4, 6), fresh(4, 7)}, want: -1, verdict: pick.Full},
 		{name: "a throttled one is full", loads: []pick.Load{throttled}, want: -1, verdict: pick.Full},
 		{name: "all are unavailable", loads: []pick.Load{unavailable, unavailable}, want: -1, verdict: pick.NoneAvailable},
--- a/pkg/sched/endpoint.go
+++ b/pkg/sched/endpoint.go
@@ -58,6 +58,8 @@
 	// ramp is the pace at which the endpoint, if it belongs to a plain service, gets requests
 	// after it has started or recovered.
 	ramp pace.Ramp
+	// responses are the response times of the endpoint, if it belongs to a plain service.
+	responses responseTimes
 	// failures is the failure score as of failuresUpdatedAt.
 	failures          float64
 	failuresUpdatedAt time.Time
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -406,6 +406,7 @@
 	}
 	s.limitSlowRanks(loads, now)
 	s.limitRamps(loads, now)
+	s.setSlowness(loads, now)
 	return loads
 }
 
@@ -530,6 +531,7 @@
 		s.meanRunTime += time.Duration(runTimeWeight * float64(runTime-s.meanRunTime))
 	}
 	e.failures, e.failuresUpdatedAt = e.failureScore(now)*0.7, now
+	s.recordResponseTime(assignment, false, now)
 	s.observe(assignment, pace.Served, now)
 	if e.ejected && e.failures < restoreThreshold {
 		e.ejected = false
@@ -545,6 +547,7 @@
 	e, now := assignment.endpoint, s.now()
 	e.addFailure(1, now)
 	s.observe(assignment, pace.Failed, now)
+	s.recordResponseTime(assignment, true, now)
 	if !e.ejected && e.failures >= ejectThreshold {
 		e.ejected = true
 		event.EndpointShunned.Log(s.logger, zap.String("endpoint", e.spec.ID()), zap.String("reason", reason),
