--- a/pkg/pick/pick.go
+++ b/pkg/pick/pick.go
@@ -71,7 +71,7 @@
 
 // InFlight estimates the number of requests at the endpoint: those in the last report,
 // corrected by the entry's own requests that have started and completed since.
-func (l Load) InFlight() int {
+func (l *Load) InFlight() int {
 	if !l.hasReport() {
 		return l.Own
 	}
--- a/pkg/sched/endpoint.go
+++ b/pkg/sched/endpoint.go
@@ -88,6 +88,9 @@
 
 // failureScore returns the exponentially decayed count of failures. Successes reduce it.
 func (e *endpoint) failureScore(now time.Time) float64 {
+	if e.failures == 0 {
+		return 0
+	}
 	return e.failures * math.Exp2(-now.Sub(e.failuresUpdatedAt).Seconds()/failureHalfLife.Seconds())
 }
 
--- a/pkg/sched/exclude.go
+++ b/pkg/sched/exclude.go
@@ -109,7 +109,7 @@
 // zero for no bound, at the current interval between passes.
 func excludeSlowRanks(loads []pick.Load, exclusions []*exclusion, pass, maxPass time.Duration, now time.Time) {
 	usable := 0
-	slower := make([]float64, 0, len(loads))
+	var slower []float64
 	for i := range loads {
 		if load := &loads[i]; !load.Unavailable && !load.Ejected {
 			usable++
@@ -164,14 +164,11 @@
 	if !s.isModelService {
 		return
 	}
-	if !s.anySlow && !slices.ContainsFunc(loads, func(load pick.Load) bool { return load.Pace > 1 }) {
-		return
-	}
-	exclusions := make([]*exclusion, len(s.endpoints))
-	before := make([]bool, len(s.endpoints))
-	for i, e := range s.endpoints {
-		exclusions[i], before[i] = &e.exclusion, e.exclusion.excluded
+	exclusions, before := s.scratch.exclusions[:0], s.scratch.excluded[:0]
+	for _, e := range s.endpoints {
+		exclusions, before = append(exclusions, &e.exclusion), append(before, e.exclusion.excluded)
 	}
+	s.scratch.exclusions, s.scratch.excluded = exclusions, before
 	excludeSlowRanks(loads, exclusions, s.longestPass(now), s.passTarget, now)
 	s.anySlow = false
 	for i, e := range s.endpoints {
--- a/pkg/sched/exclude_test.go
+++ b/pkg/sched/exclude_test.go
@@ -188,3 +188,28 @@
 		}
 	}
 }
+
+// BenchmarkChooseEndpoint measures a whole decision of a model service with a slow rank, and of a
+// plain service with ramps and response times.
+func BenchmarkChooseEndpoint(b *testing.B) {
+	for _, n := range []int{63, 860} {
+		for _, isModel := range []bool{true, false} {
+			b.Run(fmt.Sprintf("%d/model=%v", n, isModel), func(b *testing.B) {
+				s := newModelService(n, 10)
+				now := time.Unix(1000, 0)
+				s.isModelService, s.meanRunTime, s.now = isModel, time.Second, func() time.Time { return now }
+				for i, e := range s.endpoints {
+					// An entry of a fleet of 105 uses about a tenth of 860 endpoints.
+					e.unused = n > 63 && i%10 > 0
+					e.reported, e.reportedAt, e.hasAgent = i%9, now, isModel
+					s.startRamp(e, now, "benchmark")
+				}
+				s.endpoints[n/2].pace = 6
+				b.ReportAllocs()
+				for b.Loop() {
+					s.choose(Request{}, now)
+				}
+			})
+		}
+	}
+}
--- a/pkg/sched/service.go
+++ b/pkg/sched/service.go
@@ -179,6 +179,8 @@
 	// passTarget is the mean interval between passes up to which streams are on time, zero
 	// if the service has none.
 	passTarget time.Duration
+	// scratch is memory of loads and limitSlowRanks, which are called for each request.
+	scratch scratch
 	// anySlow is set while a rank is excluded because it is slow, or was readmitted lately.
 	anySlow bool
 	// hasServed is set once an endpoint has answered since the entry started.
@@ -373,13 +375,26 @@
 	return nil
 }
 
-// loads returns the endpoints' loads as input for pick.Choose. The caller must hold
-// s.mu.
+// scratch is memory that is used again by each decision.
+type scratch struct {
+	loads      []pick.Load
+	exclusions []*exclusion
+	excluded   []bool
+}
+
+// loads returns the endpoints' loads as input for pick.Choose. They are valid until the next
+// call. The caller must hold s.mu.
 func (s *Service) loads(tried map[string]bool, now time.Time) []pick.Load {
-	loads := make([]pick.Load, len(s.endpoints))
+	loads := slices.Grow(s.scratch.loads[:0], len(s.endpoints))[:len(s.endpoints)]
+	s.scratch.loads = loads
 	anyFreshReport := slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return !e.unused && e.hasFreshReport(now) })
 	limit := s.currentColdLimit(now, anyFreshReport)
+	entries, anySlow := s.entriesPerEndpoint(), s.anySlow
 	for i, e := range s.endpoints {
+		if e.unused || e.draining {
+			loads[i] = pick.Load{Age: -1, Pace: 1, Unavailable: true}
+			continue
+		}
 		age := time.Duration(-1)
 		if !e.reportedAt.IsZero() {
 			age = now.Sub(e.reportedAt)
@@ -391,20 +406,23 @@
 			Reported:    e.reported,
 			OwnAtReport: e.ownAtReport,
 			Age:         age,
-			Others:      s.othersAt(e, now),
+			Others:      s.othersAt(e, entries, now),
 			RunTime:     s.runTimeOf(e),
 			Failures:    e.failureScore(now),
 			Pace:        e.currentPace(now),
 			Local:       e.spec.DataCentre() == s.dataCentre,
 			// A host that hangs also stops its agent, and requests sent to it would run
 			// only after their callers have given up.
-			Unavailable: e.unused || e.draining || s.evacuated[e.spec.DataCentre()] || (e.notAccepting && !silent) || (silent && anyFreshReport),
+			Unavailable: s.evacuated[e.spec.DataCentre()] || (e.notAccepting && !silent) || (silent && anyFreshReport),
 			Throttled:   now.Before(e.pausedUntil) || e.isAtLimit(now) || limit.Rate > 0 && e.isCold(now) && e.isThrottled(now, limit, s.randomBelow),
 			Ejected:     e.ejected,
 			Tried:       tried[e.spec.ID()],
 		}
+		anySlow = anySlow || loads[i].Pace > 1
+	}
+	if anySlow {
+		s.limitSlowRanks(loads, now)
 	}
-	s.limitSlowRanks(loads, now)
 	s.limitRamps(loads, now)
 	s.setSlowness(loads, now)
 	return loads
--- a/pkg/sched/subset.go
+++ b/pkg/sched/subset.go
@@ -91,12 +91,12 @@
 }
 
 // othersAt returns the number of other entries that use an endpoint: those that its
-// agent reports to, or the expected number. The caller must hold s.mu.
-func (s *Service) othersAt(e *endpoint, now time.Time) float64 {
+// agent reports to, or the expected number of entries less one. The caller must hold s.mu.
+func (s *Service) othersAt(e *endpoint, expected float64, now time.Time) float64 {
 	if s.entry != "" && e.hasFreshReport(now) && e.entries > 0 {
 		return float64(e.entries - 1)
 	}
-	return s.entriesPerEndpoint() - 1
+	return expected - 1
 }
 
 // ReportSources returns the addresses of the endpoints whose agents this entry
