--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -132,6 +132,7 @@
 				s.EachLimit(func(endpoint *table.Endpoint, perSecond float64) { report(int64(1000*perSecond), endpoint.ID()) })
 			}
 		})
+	e.addPaceMetrics(metrics)
 	return e, nil
 }
 
--- a/pkg/sched/speed.go
+++ b/pkg/sched/speed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lentilstand/lentilstand/pkg/pick"
+	"github.com/lentilstand/lentilstand/pkg/table"
 )
 
 // Parameters of the response times of endpoints of plain services.
@@ -88,3 +89,32 @@
 		loads[i].Slowness = min(maxSlowness, max(1, loads[i].Slowness/fastest))
 	}
 }
+
+// EndpointPace is what an entry knows of the pace of an endpoint. Its fields are zero unless
+// they say otherwise.
+type EndpointPace struct {
+	// ExcludedAt is the pace that a rank which is excluded has reported.
+	ExcludedAt float64
+	// RampRate is the number of requests per second that this entry may send to a started or
+	// recovered endpoint.
+	RampRate float64
+	// ResponseTime is the expected response time of an endpoint of a plain service.
+	ResponseTime time.Duration
+}
+
+// EachPace calls report for each endpoint.
+func (s *Service) EachPace(report func(endpoint *table.Endpoint, pace EndpointPace)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for _, e := range s.endpoints {
+		pace := EndpointPace{RampRate: e.ramp.Rate()}
+		if e.exclusion.excluded {
+			pace.ExcludedAt = e.currentPace(now)
+		}
+		if !s.isModelService {
+			pace.ResponseTime = time.Duration(e.responses.mean(s.meanRunTime, now) * float64(time.Second))
+		}
+		report(e.spec, pace)
+	}
+}
--- a/pkg/sched/speed_test.go
+++ b/pkg/sched/speed_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/lentilstand/lentilstand/pkg/table"
 )
 
 // within returns the share of the response times that are at most a target.
@@ -18,6 +20,27 @@
 	return float64(count) / float64(len(p.times)+p.refused)
 }
 
+// TestEachPace checks what is reported as metrics.
+func TestEachPace(t *testing.T) {
+	p := newPlainSite(1, 56)
+	p.add(80*time.Millisecond, 0)
+	p.run(2 * time.Second)
+	p.add(80*time.Millisecond, 0)
+	s := p.services[0]
+	paces := make(map[string]EndpointPace)
+	s.EachPace(func(endpoint *table.Endpoint, pace EndpointPace) { paces[endpoint.ID()] = pace })
+	require.Zero(t, paces["0"].RampRate)
+	require.Positive(t, paces["1"].RampRate)
+	require.Equal(t, s.meanRunTime, paces["1"].ResponseTime, "it has no responses yet")
+
+	g := newModelService(2, 4)
+	require.True(t, g.UpdateFromAgent(g.endpoints[0].spec.Address().Addr(), AgentReport{Accepting: true, Pace: 6}))
+	g.loads(nil, g.now())
+	g.EachPace(func(endpoint *table.Endpoint, pace EndpointPace) { paces[endpoint.ID()] = pace })
+	require.Equal(t, EndpointPace{ExcludedAt: 6}, paces["a"])
+	require.Zero(t, paces["b"])
+}
+
 // TestSlowPlainEndpointGetsLess plays four endpoints of which one becomes slower and recovers. It
 // guards against entries that send it as much as the others since it isn't full, and
 // against an endpoint that isn't used again after it has recovered.
