--- a/pkg/sched/endpoint.go
+++ b/pkg/sched/endpoint.go
@@ -58,6 +58,9 @@
 	// ramp is the pace at which the endpoint, if it belongs to a plain service, gets requests
 	// after it has started or recovered.
 	ramp pace.Ramp
+	// refusedAt is when the endpoint, if it belongs to a plain service, refused this entry's last
+	// request, zero if it didn't.
+	refusedAt time.Time
 	// responses are the response times of the endpoint, if it belongs to a plain service.
 	responses responseTimes
 	// failures is the failure score as of failuresUpdatedAt.
--- a/pkg/sched/ramp.go
+++ b/pkg/sched/ramp.go
@@ -21,6 +21,8 @@
 	// unsoundFailures is the failure score from which on an endpoint isn't sound: that of one
 	// failure until two seconds later.
 	unsoundFailures = 0.5
+	// refusalTime is how long an endpoint that refused this entry's last request isn't sound.
+	refusalTime = 2 * time.Second
 	// defaultRunTime is the expected time of a request before the service has answered one.
 	defaultRunTime = 100 * time.Millisecond
 	// defaultSlots is the expected number of slots of an endpoint that names none.
@@ -64,6 +66,10 @@
 		return
 	}
 	e := assignment.endpoint
+	e.refusedAt = time.Time{}
+	if result == pace.Refused {
+		e.refusedAt = now
+	}
 	before := e.ramp.Rate()
 	starts := e.ramp.Observe(pace.Observation{
 		Result: result, SentAt: assignment.assignedAt, At: now, Load: float64(e.reported) / float64(max(1, e.slots)),
@@ -90,7 +96,7 @@
 		load := &loads[i]
 		allows := e.ramp.Allows(now, false)
 		limited = limited || !allows
-		if isSound(load) {
+		if e.isSound(load, now) {
 			sound++
 			free = free || allows && hasFreeSlot(load)
 		}
@@ -104,7 +110,7 @@
 		switch {
 		case free:
 			allowed = e.ramp.Allows(now, false)
-		case sound == 0 || sound == 1 && isSound(load):
+		case sound == 0 || sound == 1 && e.isSound(load, now):
 			allowed = hasFreeSlot(load)
 		default:
 			allowed = e.ramp.Allows(now, true) || e.own == 0 && hasFreeSlot(load) && !e.ramp.IsLowered(now)
@@ -113,9 +119,11 @@
 	}
 }
 
-// isSound reports whether an endpoint can get a request now and hasn't failed lately.
-func isSound(load *pick.Load) bool {
-	return !load.Unavailable && !load.Ejected && !load.Tried && !load.Throttled && load.Failures < unsoundFailures
+// isSound reports whether an endpoint with the given load can get a request now, and has neither
+// failed nor refused one lately.
+func (e *endpoint) isSound(load *pick.Load, now time.Time) bool {
+	return !load.Unavailable && !load.Ejected && !load.Tried && !load.Throttled && load.Failures < unsoundFailures &&
+		(e.refusedAt.IsZero() || now.Sub(e.refusedAt) >= refusalTime)
 }
 
 func hasFreeSlot(load *pick.Load) bool { return load.Slots <= 0 || load.InFlight() < load.Slots }
--- a/pkg/sched/speed_test.go
+++ b/pkg/sched/speed_test.go
@@ -49,16 +49,19 @@
 // TestOnlySoundEndpointGetsRequests guards against a ramp that makes an entry refuse requests, or
 // send them to an endpoint that leaves or fails, while an idle endpoint could serve them.
 func TestOnlySoundEndpointGetsRequests(t *testing.T) {
-	for _, leaves := range []bool{true, false} {
+	for _, state := range []string{"leaves", "fails", "refuses"} {
 		s := New("plain", "here", zap.NewNop())
 		specs := []*table.Endpoint{table.NewEndpoint(table.EndpointSpec{ID: "old", Service: "plain", Slots: 6})}
 		s.Update(specs, false, func(string) bool { return false }, 1)
 		assignment, _, err := s.Admit(Request{})
 		require.NoError(t, err)
-		if leaves {
+		switch state {
+		case "leaves":
 			s.RecordLeaving(assignment)
-		} else {
+		case "fails":
 			s.RecordFailure(assignment, "test")
+		default:
+			s.RecordGroupRefusal(assignment)
 		}
 		specs = append(specs, table.NewEndpoint(table.EndpointSpec{ID: "new", Service: "plain", Slots: 6}))
 		s.Update(specs, false, func(string) bool { return false }, 2)
@@ -66,10 +69,13 @@
 		s.Release(assignment)
 		assignment = Assignment{}
 		for range 6 {
+			require.False(t, s.loads(nil, s.now())[1].Throttled, state)
 			next, w, err := s.Admit(Request{})
 			require.NoError(t, err)
 			require.Nil(t, w)
-			require.Equal(t, "new", next.Endpoint().ID())
+			if state != "refuses" {
+				require.Equal(t, "new", next.Endpoint().ID(), "an endpoint that has refused once is still used")
+			}
 			// The caller has the response before the request before it is released.
 			if assignment.endpoint != nil {
 				s.Release(assignment)
