--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -413,8 +413,9 @@
 	}
 	pass := l.passes.estimate(average, now)
 	if leadTime := l.armTimes.leadTime(); leadTime > 0 && !l.lossy {
-		// The pass under way may end at any moment.
-		return uint64(min(maxLeadPasses, 1+(leadTime+pass-1)/pass))
+		// The pass under way may end at any moment. The average is too long after a time
+		// without requests, in which a group runs no passes, hence minLeadPasses.
+		return uint64(min(maxLeadPasses, max(minLeadPasses, 1+(leadTime+pass-1)/pass)))
 	}
 	leadTime := defaultLeadTime
 	if l.lossy {
