--- a/internal/rank/demand.go
+++ b/internal/rank/demand.go
@@ -32,6 +32,10 @@
 	// openingPeriod is how long after a group has opened the stored demand is used. The
 	// leader's own counts suffice long before.
 	openingPeriod = 3 * time.Second
+	// firstSwitchPeriod is how long after the opening the stored demand is used by a group
+	// that still has its initial map and few choices: its first switch may have failed, which
+	// takes up to 4 s. It ends, as an attempt at a plan takes 8 ms each planInterval.
+	firstSwitchPeriod = 20 * time.Second
 )
 
 // demandHint is the last demand that the agent was sent or has counted itself. The zero
@@ -173,15 +177,15 @@
 }
 
 // planningLoads returns the loads of experts, by set, that a map is planned by, nil if too
-// little is known. Version is that of the map in use. While the group opens, and as long
-// as it uses its initial map with few choices, the stored demand is used as minChoices
+// little is known. Version is that of the map in use. While the group opens, and for
+// firstSwitchPeriod if it still has its initial map, the stored demand is used as minChoices
 // choices that were counted when it opened. The caller holds the lock.
 func (l *leader) planningLoads(shape mapShape, version uint64, now time.Time) (loads [][]float64, stored bool) {
 	counted := l.counts
 	if !counted.Fits(shape.sets, shape.experts) {
 		counted = demand.NewCounter(shape.sets, shape.experts, countHalfLife)
 	}
-	unswitched := version == 0 && counted.Choices() < minChoices
+	unswitched := version == 0 && counted.Choices() < minChoices && now.Sub(l.openedAt) < firstSwitchPeriod
 	if hint := l.hint.get(shape); hint != nil && (unswitched || l.isOpening(now)) {
 		return counted.LoadsWith(hint, max(1, minChoices*demand.Decay(now.Sub(l.openedAt), countHalfLife))), true
 	}
