--- a/internal/webio/processor.go
+++ b/internal/webio/processor.go
@@ -18,13 +18,13 @@
 // Estimated costs in memory.
 const (
 	// connBytes is what an open connection costs: its read buffer, stack, parser, and a request
-	// with a head of up to smallHeadBytes. 21 KB were measured without a request.
+	// with a head of up to smallHeadBytes. An idle one takes 21 KB.
 	connBytes = 32 << 10
 	// smallHeadBytes is the cost of a head that is part of connBytes, so that an ordinary request
 	// doesn't change the account.
 	smallHeadBytes = 4 << 10
 	// lineBytes is what a line of a head costs beyond its bytes: an entry of a map, two strings
-	// and a slice. 90 bytes were measured.
+	// and a slice, about 90 bytes, and rounding.
 	lineBytes = 128
 	// handledCopies is how many more copies of a head are made while its request is handled.
 	handledCopies = 2
--- a/pkg/sched/admit.go
+++ b/pkg/sched/admit.go
@@ -13,8 +13,7 @@
 const (
 	// reserveTime is the time for whose arrivals of more urgent requests slots are kept free.
 	// Agents report each 100 ms, so that slots that become free, and requests of other
-	// entries that take them, are known late. In plays of several loads, 150 ms did worse if
-	// passes were near the gap target, and more than 300 ms didn't do much better.
+	// entries that take them, are known late: two reports and a pass.
 	reserveTime = 250 * time.Millisecond
 	// maxReserveShare bounds the share of the slots that are kept free for more urgent
 	// requests.
@@ -26,11 +25,11 @@
 	// lessUrgentMargin is the share of the gap target by which the predicted passes must fall
 	// short of it if the least urgent requests are sent. For those between the least and the
 	// most urgent it is less. Single passes take longer than predicted, as prompts come in
-	// bursts, and one long pass makes all streams late. In plays of several loads, the most
-	// urgent kind was on time most often at 0.15, and throughput was too low at 0.2.
+	// bursts, and one long pass makes all streams late. With a larger margin the group serves
+	// less than it could.
 	lessUrgentMargin = 0.2
 	// leastRateShare is the share of the completions that a kind is expected to get at least.
-	// Not all of the more urgent requests that arrive are sent. In plays, 0.35 refused
+	// Not all of the more urgent requests that arrive are sent, and a lower share refuses
 	// requests that would have been on time.
 	leastRateShare = 0.5
 	// kindHalfLife is the half-life of the counts of requests of a kind. Entries of large
@@ -168,9 +167,8 @@
 		slots: group.slots, capacity: group.slots, inFlight: group.inFlight,
 		reserve: math.Floor(min(maxReserveShare*group.slots, more*group.entries*reserveTime.Seconds())),
 	}
-	// While there are others to hold back, the most urgent kind isn't: a bound for it gained
-	// nothing in plays, and after a single long pass it was refused though the next ones were
-	// short.
+	// While there are others to hold back, the most urgent kind isn't: after a single long pass
+	// it would be refused though the next ones are short.
 	if share := 1.0; more > 0 || less == 0 {
 		if more > 0 {
 			share -= lessUrgentMargin * more / (more + less)
