--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -7,7 +7,7 @@
 
 // Exit codes of a case.
 const (
-	held_    = 0
+	held     = 0
 	broken   = 1
 	couldNot = 2
 )
@@ -17,7 +17,8 @@
 
 func main() {
 	cases := map[string]func(s *site) (int, error){
-		"turned-away": turnedAway,
+		"turned-away":          turnedAway,
+		"turned-away-at-start": turnedAwayAtStart,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER")
--- a/review/_stand2/site.go
+++ b/review/_stand2/site.go
@@ -51,7 +51,7 @@
 	name, zone, ip string
 	settings       string
 	front, store   string
-	peer           string
+	ready, peer    string
 	gate           *gate
 	process        *exec.Cmd
 	log            *os.File
@@ -75,18 +75,18 @@
 	g.renewal = renewal
 }
 
-// held keeps a response until it is known whether the store serves the machine.
-type held struct {
+// reply keeps a response until it is known whether the store serves the machine.
+type reply struct {
 	header http.Header
 	status int
 	body   []byte
 }
 
-func (h *held) Header() http.Header { return h.header }
+func (h *reply) Header() http.Header { return h.header }
 
-func (h *held) WriteHeader(status int) { h.status = status }
+func (h *reply) WriteHeader(status int) { h.status = status }
 
-func (h *held) Write(data []byte) (int, error) {
+func (h *reply) Write(data []byte) (int, error) {
 	h.body = append(h.body, data...)
 	return len(data), nil
 }
@@ -102,16 +102,16 @@
 	if g.turnAway(w, r) {
 		return
 	}
-	response := &held{header: make(http.Header), status: http.StatusOK}
-	g.next.ServeHTTP(response, r)
+	kept := &reply{header: make(http.Header), status: http.StatusOK}
+	g.next.ServeHTTP(kept, r)
 	if g.turnAway(w, r) {
 		return
 	}
-	for name, values := range response.header {
+	for name, values := range kept.header {
 		w.Header()[name] = values
 	}
-	w.WriteHeader(response.status)
-	_, _ = w.Write(response.body)
+	w.WriteHeader(kept.status)
+	_, _ = w.Write(kept.body)
 }
 
 func (g *gate) turnAway(w http.ResponseWriter, r *http.Request) bool {
@@ -248,11 +248,12 @@
 	peerPort := 7340
 	e.front = fmt.Sprintf("%s:%d", e.ip, ports[0])
 	e.peer = fmt.Sprintf("%s:%d", e.ip, peerPort)
+	e.ready = fmt.Sprintf("%s:%d", e.ip, ports[1])
 	settings := map[string]any{
 		"name": name, "data_centre": zone,
 		"data_centres": map[string]string{"gmunden": "at-upper", "ebensee": "at-upper", "altmuenster": "at-upper"},
 		"ip":           e.ip, "peer_port": peerPort, "admin_listen": fmt.Sprintf("%s:%d", e.ip, ports[3]),
-		"listen": e.front, "ready_listen": fmt.Sprintf("%s:%d", e.ip, ports[1]), "directory_listen": fmt.Sprintf("%s:%d", e.ip, ports[2]),
+		"listen": e.front, "ready_listen": e.ready, "directory_listen": fmt.Sprintf("%s:%d", e.ip, ports[2]),
 		"store": e.store, "max_address_ttl_s": 5, "stop_bound_s": graceS,
 		"retry_ratio": 0.2, "retry_extra": 88, "retry_window_s": 10, "cold_overage": 1.5, "cold_extra": 5,
 		"memory_mb": 284, "max_descriptors": 4200, "log_level": "info",
@@ -282,6 +283,36 @@
 	return e.process.Start()
 }
 
+// restart stops the entry as the platform does, and starts it again after a short delay.
+func (s *site) restart(e *entry) error {
+	s.logf("SIGTERM to %s", e.name)
+	if err := e.process.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	overdue := time.AfterFunc(graceS*time.Second, func() { _ = e.process.Process.Kill() })
+	_ = e.process.Wait()
+	overdue.Stop()
+	_ = e.log.Close()
+	s.logf("%s has ended", e.name)
+	time.Sleep(500 * time.Millisecond)
+	return s.start(e)
+}
+
+// waitReady waits until the readiness check of an entry succeeds.
+func (s *site) waitReady(e *entry, timeout time.Duration) bool {
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		response, err := http.Get("http://" + e.ready + "/lentilstand/ready")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *entry) kill() {
 	if e.process == nil || e.process.Process == nil {
 		return
--- a/review/_stand2/turned_away.go
+++ b/review/_stand2/turned_away.go
@@ -16,31 +16,11 @@
 // turnedAway has the store turn one of three entries away, without a response, while it
 // serves the others and the operator. Meanwhile the operator withdraws keys.
 func turnedAway(s *site) (int, error) {
-	keys := []string{"key-kept", "key-1", "key-2", "key-3", "key-4"}
-	booking := route{prefix: "/book/", kind: "non_idempotent", timeoutMS: 1500}
-	if _, err := s.configure(keys, booking); err != nil {
+	keys, booking, err := s.startThree()
+	if err != nil {
 		return couldNot, err
 	}
-	for i, zone := range []string{"gmunden", "ebensee", "altmuenster"} {
-		if _, err := s.addReplica(fmt.Sprintf("i-%d", i+1), zone); err != nil {
-			return couldNot, err
-		}
-		e, err := s.addEntry(fmt.Sprintf("edge-%s-1", zone), zone)
-		if err != nil {
-			return couldNot, err
-		}
-		if err := s.start(e); err != nil {
-			return couldNot, err
-		}
-	}
-	for _, e := range s.entries {
-		if !s.waitMember(e, true, 10*time.Second) {
-			return couldNot, errors.New(e.name + " did not become a member")
-		}
-	}
 	away := s.entries[0]
-	// The machines are calm for contactMs.
-	time.Sleep(contact + time.Second)
 	var began time.Time
 	if troubled() {
 		began = s.turnAwayAtRenewal(away)
@@ -57,6 +37,42 @@
 		began = time.Now()
 		time.Sleep(2 * time.Second)
 	}
+	return s.withdrawKeys(keys, booking, began)
+}
+
+// startThree starts three entries in three zones, and a replica in each, and waits until the
+// machines have been calm for contactMs.
+func (s *site) startThree() (keys []string, booking route, err error) {
+	keys = []string{"key-kept", "key-1", "key-2", "key-3", "key-4"}
+	booking = route{prefix: "/book/", kind: "non_idempotent", timeoutMS: 1500}
+	if _, err = s.configure(keys, booking); err != nil {
+		return nil, route{}, err
+	}
+	for i, zone := range []string{"gmunden", "ebensee", "altmuenster"} {
+		if _, err := s.addReplica(fmt.Sprintf("i-%d", i+1), zone); err != nil {
+			return nil, route{}, err
+		}
+		e, err := s.addEntry(fmt.Sprintf("edge-%s-1", zone), zone)
+		if err != nil {
+			return nil, route{}, err
+		}
+		if err := s.start(e); err != nil {
+			return nil, route{}, err
+		}
+	}
+	for _, e := range s.entries {
+		if !s.waitMember(e, true, 10*time.Second) {
+			return nil, route{}, errors.New(e.name + " did not become a member")
+		}
+	}
+	time.Sleep(contact + time.Second)
+	return keys, booking, nil
+}
+
+// withdrawKeys has the operator withdraw all keys but the first, one after the other, while
+// clients use them at all entries, until 3 s after turnAwaySpan. It tells whether requests with
+// a withdrawn key that were sent later than the bound still ran.
+func (s *site) withdrawKeys(keys []string, booking route, began time.Time) (int, error) {
 	// One key is withdrawn after the other.
 	withdrawn := make(map[string]time.Time)
 	for i := 1; i < len(keys); i++ {
@@ -102,7 +118,7 @@
 	if violations > 0 {
 		return broken, nil
 	}
-	return held_, nil
+	return held, nil
 }
 
 // turnAwayAtRenewal makes the store silent for a machine from the machine's next renewal of
@@ -118,3 +134,32 @@
 	})
 	return <-began
 }
+
+// turnedAwayAtStart restarts one of three entries as planned work, and has the store turn it
+// away with status 503 once it is ready again. Then the operator withdraws keys.
+func turnedAwayAtStart(s *site) (int, error) {
+	keys, booking, err := s.startThree()
+	if err != nil {
+		return couldNot, err
+	}
+	away := s.entries[0]
+	if err := s.restart(away); err != nil {
+		return couldNot, err
+	}
+	if !s.waitReady(away, 10*time.Second) {
+		return couldNot, errors.New("the entry did not become ready again")
+	}
+	s.logf("%s is ready again", away.name)
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	if troubled() {
+		away.gate.busy.Store(true)
+		s.logf("the store answers %s with 503", away.name)
+		time.AfterFunc(turnAwaySpan, func() {
+			away.gate.busy.Store(false)
+			s.logf("the store serves %s again", away.name)
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	return s.withdrawKeys(keys, booking, began)
+}
