--- a/review/_stand2/replica_test.go
+++ b/review/_stand2/replica_test.go
@@ -33,17 +33,22 @@
 	if err := r.beat(1); err != nil {
 		return nil, err
 	}
-	go func() {
-		for sequence := 2; ; sequence++ {
-			select {
-			case <-s.stop:
-				return
-			case <-time.After(heartbeat):
+	return r, nil
+}
+
+// keepBeating has all replicas ping together.
+func (s *site) keepBeating() {
+	for sequence := 2; ; sequence++ {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(heartbeat):
+			for _, r := range s.replicas {
 				_ = r.beat(sequence)
 			}
+			s.beatAt.Store(time.Since(s.started).Milliseconds())
 		}
-	}()
-	return r, nil
+	}
 }
 
 // beat writes the replica's entry in the store.
--- a/review/_stand2/site_test.go
+++ b/review/_stand2/site_test.go
@@ -33,10 +33,12 @@
 // site holds the stand-ins and the processes of one case.
 type site struct {
 	started time.Time
-	dir     string
-	host    string
-	kv      *stand.KV
-	store   *fakes.Store
+	// beatAt is when the replicas last pinged, in milliseconds since started.
+	beatAt atomic.Int64
+	dir    string
+	host   string
+	kv     *stand.KV
+	store  *fakes.Store
 
 	mu       sync.Mutex
 	record   *os.File
--- a/review/_stand2/turned_away_test.go
+++ b/review/_stand2/turned_away_test.go
@@ -60,6 +60,7 @@
 			return nil, route{}, err
 		}
 	}
+	go s.keepBeating()
 	for _, e := range s.entries {
 		if !s.waitMember(e, true, 10*time.Second) {
 			return nil, route{}, errors.New(e.name + " did not become a member")
@@ -121,12 +122,16 @@
 	return held, nil
 }
 
-// turnAwayAtRenewal makes the store silent for a machine from the machine's next renewal of
-// its lease on, which is not carried out, and returns when.
+// turnAwayAtRenewal makes the store silent for a machine from a renewal of its lease on, which
+// is not carried out, and returns when. The renewal is one that comes 300 to 500 ms after the
+// replicas' pings, so that it depends less on chance when the entry's calls of the store time out.
 func (s *site) turnAwayAtRenewal(e *entry) time.Time {
 	began := make(chan time.Time, 1)
 	var once sync.Once
 	e.gate.onRenewal(func() {
+		if since := time.Since(s.started).Milliseconds() - s.beatAt.Load(); since < 300 || since >= 500 {
+			return
+		}
 		once.Do(func() {
 			e.gate.silent.Store(true)
 			began <- time.Now()
