--- /dev/null
+++ b/review/_stand3/main.go
@@ -0,0 +1,41 @@
+// Command stand3 plays the script cases of the third review: it starts the system's own
+// processes on loopback addresses beside stand-ins of the store, the replicas and the callers.
+//
+// It exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// verdict is the result of a case.
+type verdict struct {
+	broken  bool
+	summary string
+}
+
+func main() {
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: stand3 CASE RECORD")
+		os.Exit(2)
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	rec := newRecord(os.Args[2])
+	cases := map[string]func(*site, bool) verdict{
+		"maps": playMaps,
+	}
+	play := cases[os.Args[1]]
+	if play == nil {
+		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
+		os.Exit(2)
+	}
+	s := newSite(rec)
+	v := play(s, trouble)
+	rec.addf("verdict: broken %v: %s", v.broken, v.summary)
+	s.close()
+	fmt.Println(v.summary)
+	if v.broken {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,5 @@
+#!/bin/bash
+# Builds the stand-ins of the script cases 11 to 15.
+set -e
+cd "$(dirname "$0")/.."
+go build -o target/stand3 ./review/_stand3
