--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -23,7 +23,8 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec := newRecord(os.Args[2])
 	cases := map[string]func(*site, bool) verdict{
-		"maps": playMaps,
+		"maps":  playMaps,
+		"relay": playRelay,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
--- a/review/_stand3/site.go
+++ b/review/_stand3/site.go
@@ -65,7 +65,8 @@
 	kv      *stand.KV
 	store   *fakes.Store
 	storeAt string
-	version int
+	// observe is called with each call to the store, nil for nothing.
+	observe func(r *http.Request)
 
 	mu        sync.Mutex
 	processes []*process
@@ -93,7 +94,12 @@
 	s.store = fakes.NewStore(s.kv)
 	s.choosePorts()
 	s.storeAt = fmt.Sprintf("%s.200.1:%d", s.network, s.ports.front)
-	s.serve(s.storeAt, s.store)
+	s.serve(s.storeAt, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.observe != nil {
+			s.observe(r)
+		}
+		s.store.ServeHTTP(w, r)
+	}))
 	return s
 }
 
