--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -23,8 +23,9 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec := newRecord(os.Args[2])
 	cases := map[string]func(*site, bool) verdict{
-		"maps":  playMaps,
-		"relay": playRelay,
+		"maps":   playMaps,
+		"relay":  playRelay,
+		"hidden": playHidden,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
--- a/review/_stand3/site.go
+++ b/review/_stand3/site.go
@@ -67,6 +67,8 @@
 	storeAt string
 	// observe is called with each call to the store, nil for nothing.
 	observe func(r *http.Request)
+	// intercept reports whether it takes a call to the store over, which then gets no answer.
+	intercept func(store http.Handler, r *http.Request) bool
 
 	mu        sync.Mutex
 	processes []*process
@@ -94,12 +96,7 @@
 	s.store = fakes.NewStore(s.kv)
 	s.choosePorts()
 	s.storeAt = fmt.Sprintf("%s.200.1:%d", s.network, s.ports.front)
-	s.serve(s.storeAt, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.observe != nil {
-			s.observe(r)
-		}
-		s.store.ServeHTTP(w, r)
-	}))
+	s.serve(s.storeAt, http.HandlerFunc(s.serveStore))
 	return s
 }
 
@@ -127,13 +124,27 @@
 	cannotRun("no free ports")
 }
 
-// serve serves a stand-in at an address until the program ends.
-func (s *site) serve(address string, handler http.Handler) {
+// serve serves a stand-in at an address until the program ends or the server is closed.
+func (s *site) serve(address string, handler http.Handler) *http.Server {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		cannotRun("can't listen: %v", err)
 	}
-	go func() { _ = (&http.Server{Handler: handler}).Serve(listener) }()
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	return server
+}
+
+// serveStore passes a call on to the store.
+func (s *site) serveStore(w http.ResponseWriter, r *http.Request) {
+	if s.observe != nil {
+		s.observe(r)
+	}
+	if s.intercept != nil && s.intercept(s.store, r) {
+		<-r.Context().Done()
+		return
+	}
+	s.store.ServeHTTP(w, r)
 }
 
 // entryIP and agentIP return the addresses of the hosts of entries and of replicas.
