--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -15,6 +15,10 @@
 	summary string
 }
 
+// episodes is how often a case is played at most, each time with new processes, until the rule
+// is broken. Whether it is depends on moments that the machine's load shifts.
+var episodes = map[string]int{"maps": 5, "relay": 1, "hidden": 1}
+
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE RECORD")
@@ -32,10 +36,14 @@
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
 		os.Exit(2)
 	}
-	s := newSite(rec)
-	v := play(s, trouble)
-	rec.addf("verdict: broken %v: %s", v.broken, v.summary)
-	s.close()
+	var v verdict
+	for episode := 1; episode <= episodes[os.Args[1]] && !v.broken; episode++ {
+		s := newSite(rec)
+		v = play(s, trouble)
+		rec.addf("verdict of episode %d: broken %v: %s", episode, v.broken, v.summary)
+		s.close()
+		v.summary = fmt.Sprintf("episode %d: %s", episode, v.summary)
+	}
 	fmt.Println(v.summary)
 	if v.broken {
 		os.Exit(1)
--- a/review/_stand3/site.go
+++ b/review/_stand3/site.go
@@ -100,11 +100,15 @@
 	return s
 }
 
+// chosenPorts counts the choices of ports, so that each site has others.
+var chosenPorts int
+
 // choosePorts chooses a loopback network and ports that are free on it.
 func (s *site) choosePorts() {
-	for attempt := range 200 {
-		s.network = fmt.Sprintf("127.%d", 20+(os.Getpid()+attempt)%200)
-		base := 20000 + 10*((os.Getpid()+7*attempt)%1000)
+	for range 200 {
+		chosenPorts++
+		s.network = fmt.Sprintf("127.%d", 20+(os.Getpid()+chosenPorts)%200)
+		base := 20000 + 10*((os.Getpid()+7*chosenPorts)%1000)
 		s.ports = ports{front: base, ready: base + 1, directory: base + 2, peer: base + 3, admin: base + 4, replica: base + 5}
 		free := true
 		for port := base; port < base+6; port++ {
