pkg/group: no two switches of an epoch have the same pass

Cause: a hold and its release have only the pass in common, and an idle group begins no passes. A switch that was given up and the next one had the same pass, so that a release of the first, carried out 2 s late, ended the hold of the second while some ranks were armed.

Why the fix works: a switch gets a pass above that of each release that may be underway. Ranks keep that number, in a tag of the version that they have prepared, since a release is given only after all ranks are armed for its pass or have prepared a fence with its tag. A leader's memory isn't needed. Arming stops while no pass is held.

Ruled out: the ranks' order sequence, which orders for maps don't move (docs/design/expert-maps.md).

--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -54,8 +54,8 @@
 	// minChoices is how many choices of experts must have been counted before a map is
 	// computed from them.
 	minChoices = 20000
-	// versionStride is the distance between versions. A random number below it is added
-	// to each version, so that two leaders are unlikely to choose the same one.
+	// versionStride is the distance between the numbers of versions. A random number below it
+	// is added to each, so that two leaders are unlikely to choose the same one.
 	versionStride = 1 << 16
 )
 
@@ -359,12 +359,13 @@
 		event.SwitchDone.Log(a.logger, zap.Uint64("version", version), zap.Uint64("pass", l.views[0].Pass), phaseTimes(l.machine.Times()))
 	case group.Abandoned:
 		l.switches.Add(1, "abandoned")
-		event.SwitchAbandoned.Log(a.logger, zap.Uint64("version", version), zap.Uint64("switch", l.machine.SwitchVersion()), zap.Stringer("phase", phase), phaseTimes(l.machine.Times()))
+		event.SwitchAbandoned.Log(a.logger, zap.Uint64("version", version), zap.Uint64("switch", l.machine.SwitchVersion()),
+			zap.Uint64("pass", l.machine.SwitchPass()), zap.Stringer("phase", phase), phaseTimes(l.machine.Times()))
 	}
 	if after := l.machine.Phase(); phase == group.Idle && after != group.Idle {
 		event.HoldResolved.Log(a.logger, zap.Uint64("version", l.machine.Version()), zap.Stringer("phase", after))
 	} else if after == group.Releasing && phase != group.Releasing {
-		event.SwitchArmed.Log(a.logger, zap.Uint64("version", version))
+		event.SwitchArmed.Log(a.logger, zap.Uint64("version", version), zap.Uint64("pass", l.machine.SwitchPass()))
 	}
 	if l.machine.IsFencing() {
 		l.planFence()
--- a/pkg/group/doc.go
+++ b/pkg/group/doc.go
@@ -21,7 +21,11 @@
 // Nothing is armed before the hold is reported, and the hold is released only when
 // all ranks are armed or none can be. A delayed order therefore either does what
 // the switch requires anyway or is refused, because the pass has begun or the
-// version is no longer the prepared one. A switch that can't be completed is
+// version is no longer the prepared one. A delayed Release has only its pass to tell
+// which hold it ends, and an idle group begins no passes: two switches therefore never
+// have the same pass of an epoch. Before a Release is given, all ranks are armed for its
+// pass or have prepared a version whose tag has it, so that each later leader learns the
+// pass from the ranks. A switch that can't be completed is
 // fenced: every rank is disarmed and prepares a newer version of the map in use,
 // after which an Arm of the old version is refused. Only then is the hold released.
 //
--- a/pkg/group/leader.go
+++ b/pkg/group/leader.go
@@ -114,6 +114,9 @@
 	minLeadPasses  = 3
 	longLeadPasses = 2
 	maxLeadPasses  = 14
+	// maxPassesAhead limits the lead of a switch in an idle group, in which each one that is
+	// given up makes the next one's lead longer.
+	maxPassesAhead = 2 * maxLeadPasses
 	// minPassWindow is the shortest span from which the duration of passes is estimated
 	// while ranks prepare a map. Agents report every 100 ms.
 	minPassWindow = 150 * time.Millisecond
@@ -175,19 +178,19 @@
 	missingArmed bool
 	// armOrdered has the ranks that were ordered to arm the version being switched to.
 	// It is nil for a switch that another leader began, whose orders are unknown.
-	armOrdered  map[int]bool
-	nextVersion func(above uint64) uint64
+	armOrdered map[int]bool
+	nextNumber func(above uint64) uint64
 }
 
 // NewLeader returns the leader of a group of size ranks that runs on the host of
-// rank own. The function next returns a version above the given one that no other
-// leader chooses.
+// rank own. The function next returns a number above the given one that no other
+// leader chooses. Numbers below 2^40 make versions that JSON represents exactly.
 //
 // A leader holds passes at the rank after its own, so that another leader can release
 // the hold if the leader's host fails. See armStage for how that leader finds out whether
 // the failed host's rank is armed.
 func NewLeader(size, own int, next func(above uint64) uint64) *Leader {
-	return &Leader{size: size, ownRank: own, holderRank: (own + 1) % size, missingRank: -1, nextVersion: next}
+	return &Leader{size: size, ownRank: own, holderRank: (own + 1) % size, missingRank: -1, nextNumber: next}
 }
 
 // pivot returns the rank before the one that holds a pass. Normally it is the rank on
@@ -236,6 +239,10 @@
 // while that is fenced under another version.
 func (l *Leader) SwitchVersion() uint64 { return l.version }
 
+// SwitchPass returns the pass at which the current or last switch takes effect, zero before the
+// first one has been scheduled.
+func (l *Leader) SwitchPass() uint64 { return l.switchPass }
+
 // IsFencing reports whether the ranks are to prepare the map in use again, under a
 // newer version.
 func (l *Leader) IsFencing() bool { return l.phase == Fencing }
@@ -246,14 +253,22 @@
 	l.epoch, l.missingRank = views[0].Epoch, -1
 	l.armOrdered = make(map[int]bool)
 	l.holderRank = (l.ownRank + 1) % l.size
-	l.version = l.nextVersion(max(l.version, l.fenceVersion, highestVersion(views)))
+	l.version = l.newVersion(views, max(l.version, l.fenceVersion))
 	l.passes = newPassMeter(newestPass(views), now)
 	l.enterPhase(Preparing, now)
 	return l.version
 }
 
+// newVersion returns a version above the given one and those of the ranks, with the tag of the
+// highest pass that is in use.
+func (l *Leader) newVersion(views []View, above uint64) uint64 {
+	number := l.nextNumber(versionNumber(max(above, highestVersion(views))))
+	return tagVersion(number, l.epoch, usedPass(views))
+}
+
 // CanBegin reports whether a switch may start: the group is open, all ranks have
-// reported recently, use the same map and have nothing armed or held.
+// reported recently, use the same map and have nothing armed or held. An idle group in which
+// switches were given up must make passes before it gets another one.
 func (l *Leader) CanBegin(views []View, now time.Time) bool {
 	if l.phase != Idle || l.startedAt.IsZero() || now.Sub(l.startedAt) < takeoverDelay || !l.allReported(views, now) {
 		return false
@@ -263,7 +278,7 @@
 			return false
 		}
 	}
-	return true
+	return usedPass(views) < newestPass(views)+maxPassesAhead
 }
 
 // Reset drops the current switch. It is called after the process was suspended,
@@ -400,7 +415,9 @@
 		}
 		return orders, Pending
 	}
-	l.switchPass = newestPass(views) + l.leadPasses(now)
+	// A release that is carried out late must not end the hold of a later switch, so that
+	// no switch has the pass of an earlier one.
+	l.switchPass = max(newestPass(views)+l.leadPasses(now), usedPass(views)+1)
 	l.enterPhase(Holding, now)
 	return l.hold(views, now)
 }
@@ -477,7 +494,8 @@
 		}
 	}
 	if newestPass(views) >= l.switchPass || now.Sub(l.phaseStart) > holdTimeout {
-		// Nothing is armed. A Hold that arrives after its pass has begun is refused.
+		// Nothing is armed, unless the hold was lost; resolve finds such ranks. A Hold that
+		// arrives after its pass has begun is refused.
 		l.lossy = true
 		l.enterPhase(Idle, now)
 		return nil, Abandoned
@@ -496,6 +514,11 @@
 // arm orders the ranks to arm the map, stage by stage, and releases the pass once all
 // are reported armed.
 func (l *Leader) arm(views []View, now time.Time) ([]Order, Outcome) {
+	if !slices.ContainsFunc(views, func(view View) bool { return view.Held && view.HeldPass == l.switchPass }) {
+		// Without the hold the pass may begin while some ranks are armed.
+		l.enterPhase(Holding, now)
+		return l.hold(views, now)
+	}
 	stage, due := otherStage, []int(nil)
 	for rank, view := range views {
 		if l.isArmed(rank, view) {
--- a/pkg/group/model_test.go
+++ b/pkg/group/model_test.go
@@ -75,17 +75,24 @@
 	epoch  uint64
 	pass   uint64
 	tick   int
-	// heldTicks is for how many ticks no pass has begun.
+	// busy is set if the group always has requests and no agent stops.
+	busy bool
+	// heldTicks is for how many ticks no pass has begun though the group has requests.
 	heldTicks int
+	// idleUntil is the tick until which the group has no requests and makes no passes.
+	idleUntil int
 	delayed   []delayedOrder
 	leaders   []*simLeader
-	// suspendedUntil has for each rank the tick until which its host is suspended.
-	suspendedUntil []int
-	lastVersion    uint64
+	// suspendedUntil has for each rank the tick until which its host is suspended, and
+	// downUntil the one until which its agent is down.
+	suspendedUntil, downUntil []int
+	lastVersion               uint64
 	// switches counts the switches of rank 0 to another map.
 	switches int
 	// lossTenths is how many of ten orders don't reach their rank immediately.
 	lossTenths int
+	// downTicks is for how long the agent that was stopped last is down.
+	downTicks int
 	// trace records the events of a walk, to be printed if it fails.
 	trace []string
 }
@@ -95,7 +102,7 @@
 }
 
 func newSimulation(t *rapid.T, size int, mutant string) *simulation {
-	s := &simulation{t: t, mutant: mutant, lossTenths: rapid.IntRange(0, 9).Draw(t, "loss"), ranks: make([]rank, size), suspendedUntil: make([]int, size), epoch: 1}
+	s := &simulation{t: t, mutant: mutant, lossTenths: rapid.IntRange(0, 9).Draw(t, "loss"), ranks: make([]rank, size), suspendedUntil: make([]int, size), downUntil: make([]int, size), epoch: 1}
 	s.leaders = []*simLeader{s.newLeader(0)}
 	return s
 }
@@ -119,16 +126,29 @@
 		s.report(l)
 		s.runLeader(l)
 	}
-	switch rapid.IntRange(0, 249).Draw(s.t, "fault") {
+	fault := rapid.IntRange(0, 249).Draw(s.t, "fault")
+	if s.busy && fault >= firstIdleFault {
+		return
+	}
+	switch fault {
 	case 0:
 		s.suspendHost()
 	case 1:
 		s.reformGroup()
 	case 2:
 		s.changeLeader()
+	case firstIdleFault, firstIdleFault + 1, firstIdleFault + 2, firstIdleFault + 3:
+		s.idleUntil = s.tick + rapid.IntRange(5, 150).Draw(s.t, "idle")
+		s.tracef("the group is idle until tick %d", s.idleUntil)
+	case firstIdleFault + 20, firstIdleFault + 21, firstIdleFault + 22, firstIdleFault + 23:
+		s.stopAgent()
 	}
 }
 
+// firstIdleFault is the first number of the faults that a busy group doesn't have. Numbers in the
+// middle of the range are drawn less often than the lowest ones.
+const firstIdleFault = 100
+
 func (s *simulation) deliverDelayed() {
 	kept := s.delayed[:0]
 	for _, d := range s.delayed {
@@ -136,14 +156,22 @@
 			kept = append(kept, d)
 		} else if d.order.Epoch == s.epoch {
 			s.tracef("delayed order %+v", d.order)
-			s.ranks[d.order.Rank].apply(d.order, s.pass)
+			r := &s.ranks[d.order.Rank]
+			if s.mutant == "late release fits every hold" && d.order.Kind == group.Release && r.held {
+				d.order.Pass = r.heldPass
+			}
+			r.apply(d.order, s.pass)
 		}
 	}
 	s.delayed = kept
 }
 
-// runPass begins a pass unless it is held, and panics if the ranks' maps differ.
+// runPass begins a pass unless it is held or the group is idle, and panics if the ranks' maps
+// differ.
 func (s *simulation) runPass() {
+	if s.idleUntil > s.tick {
+		return
+	}
 	next := s.pass + 1
 	for _, r := range s.ranks {
 		if r.held && r.heldPass == next {
@@ -174,7 +202,7 @@
 func (s *simulation) report(l *simLeader) {
 	newest := s.leaders[len(s.leaders)-1]
 	for i, r := range s.ranks {
-		if s.suspendedUntil[i] > s.tick || l.suspendedUntil > s.tick || (l != newest && i != l.rank) {
+		if s.suspendedUntil[i] > s.tick || l.suspendedUntil > s.tick || (l != newest && i != l.rank) || !s.isHeard(i) {
 			continue
 		}
 		if i != l.rank && rapid.IntRange(0, 19).Draw(s.t, "report") == 0 {
@@ -188,6 +216,13 @@
 	}
 }
 
+// isHeard reports whether the leader gets a rank's state: from its agent, or by a poll each
+// three ticks once the agent has been silent for four.
+func (s *simulation) isHeard(rank int) bool {
+	left := s.downUntil[rank] - s.tick
+	return left <= 0 || left < s.downTicks-4 && left%3 == 0
+}
+
 // falsify makes a report show the condition that a rule of the protocol waits for,
 // which disables the rule.
 func (s *simulation) falsify(view group.View, l *simLeader) group.View {
@@ -233,6 +268,10 @@
 	if s.suspendedUntil[order.Rank] > s.tick && order.Rank != l.rank {
 		return
 	}
+	if left := s.downUntil[order.Rank] - s.tick; left >= s.downTicks-4 && left > 0 && order.Kind != group.Hold && order.Kind != group.Release {
+		// The leader gives only these orders to a rank itself whose agent was heard lately.
+		return
+	}
 	if order.Kind == group.Hold {
 		l.lastHold = order.Pass
 		if s.mutant == "arm before the hold" {
@@ -265,6 +304,29 @@
 	}
 }
 
+// stopAgent stops an agent for some seconds. If it leads, it has forgotten everything as it leads
+// again.
+func (s *simulation) stopAgent() {
+	host := rapid.IntRange(0, len(s.ranks)-1).Draw(s.t, "agent")
+	if s.suspendedUntil[host] > s.tick {
+		return
+	}
+	s.downTicks = rapid.IntRange(6, 50).Draw(s.t, "down")
+	for i := range s.downUntil {
+		s.downUntil[i] = 0
+	}
+	s.downUntil[host] = s.tick + s.downTicks
+	s.tracef("the agent of rank %d is down until tick %d", host, s.downUntil[host])
+	if len(s.leaders) > 1 && s.leaders[0].rank == host {
+		s.leaders = s.leaders[1:]
+	}
+	if last := s.leaders[len(s.leaders)-1]; last.rank == host {
+		restarted := s.newLeader(host)
+		restarted.suspendedUntil = s.downUntil[host]
+		s.leaders = []*simLeader{restarted}
+	}
+}
+
 // reformGroup simulates a crash of a rank: the group forms again, in a new epoch and
 // with the initial map.
 func (s *simulation) reformGroup() {
@@ -281,7 +343,7 @@
 func (s *simulation) changeLeader() {
 	last := s.leaders[len(s.leaders)-1]
 	own := rapid.IntRange(0, len(s.ranks)-1).Draw(s.t, "leader")
-	if own == last.rank || s.suspendedUntil[own] > s.tick {
+	if own == last.rank || s.suspendedUntil[own] > s.tick || s.downUntil[own] > s.tick {
 		return
 	}
 	s.leaders = []*simLeader{last, s.newLeader(own)}
@@ -289,9 +351,10 @@
 }
 
 // randomWalk simulates a number of ticks with random faults and returns the first
-// violation, nil if there is none.
-func randomWalk(t *rapid.T, mutant string, ticks int) (s *simulation, violation any) {
+// violation, nil if there is none. A busy group always has requests, and its agents never stop.
+func randomWalk(t *rapid.T, mutant string, ticks int, busy bool) (s *simulation, violation any) {
 	s = newSimulation(t, rapid.IntRange(2, 4).Draw(t, "size"), mutant)
+	s.busy = busy
 	defer func() {
 		if cause := recover(); cause != nil {
 			if text, ok := cause.(string); ok {
@@ -310,7 +373,7 @@
 func TestEveryPassBeginsWithOneMap(t *testing.T) {
 	for range walkRounds {
 		rapid.Check(t, func(t *rapid.T) {
-			s, violation := randomWalk(t, "", 300)
+			s, violation := randomWalk(t, "", 300, false)
 			require.Nil(t, violation, strings.Join(s.trace, "\n"))
 		})
 	}
@@ -331,12 +394,12 @@
 // walk all hosts run, and one leader, a new one or the last one, receives all reports.
 func TestHoldsEndAfterFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s, violation := randomWalk(t, "", 200)
+		s, violation := randomWalk(t, "", 200, false)
 		require.Nil(t, violation)
 		for i := range s.suspendedUntil {
-			s.suspendedUntil[i] = 0
+			s.suspendedUntil[i], s.downUntil[i] = 0, 0
 		}
-		s.delayed = nil
+		s.delayed, s.idleUntil = nil, 0
 		ticks, last := maxHeldTicksBefore, s.leaders[len(s.leaders)-1]
 		if last.suspendedUntil != 0 || rapid.Bool().Draw(t, "new leader") {
 			ticks, last = maxHeldTicks, s.newLeader(rapid.IntRange(0, len(s.ranks)-1).Draw(t, "last leader"))
@@ -364,12 +427,12 @@
 // TestMutantsAreFound checks that the simulation violates the invariant if a rule of
 // the protocol is disabled.
 func TestMutantsAreFound(t *testing.T) {
-	for _, mutant := range []string{"arm before the hold", "release before all are armed", "no fence"} {
+	for _, mutant := range []string{"arm before the hold", "release before all are armed", "no fence", "late release fits every hold"} {
 		t.Run(mutant, func(t *testing.T) {
 			found := false
 			for seed := 1; seed <= mutantWalks && !found; seed++ {
 				walks := rapid.Custom(func(t *rapid.T) bool {
-					_, violation := randomWalk(t, mutant, 300)
+					_, violation := randomWalk(t, mutant, 300, false)
 					return violation != nil
 				})
 				found = walks.Example(seed)
@@ -388,7 +451,7 @@
 	switched := 0
 	for seed := 1; seed <= 20; seed++ {
 		switched += rapid.Custom(func(t *rapid.T) int {
-			s, violation := randomWalk(t, "", 300)
+			s, violation := randomWalk(t, "", 300, true)
 			require.Nil(t, violation)
 			return s.switches
 		}).Example(seed)
--- a/pkg/group/resolve.go
+++ b/pkg/group/resolve.go
@@ -134,7 +134,7 @@
 
 // enterFence begins a fence under a version above all known ones.
 func (l *Leader) enterFence(views []View, now time.Time) {
-	l.fenceVersion = l.nextVersion(max(highestVersion(views), l.version))
+	l.fenceVersion = l.newVersion(views, l.version)
 	l.lossy = true
 	l.enterPhase(Fencing, now)
 }
@@ -158,7 +158,7 @@
 			disarms = append(disarms, l.newOrder(rank, Disarm, view.Armed, 0))
 		case view.Prepared > l.fenceVersion:
 			// Another leader uses newer versions.
-			l.fenceVersion = l.nextVersion(highestVersion(views))
+			l.fenceVersion = l.newVersion(views, 0)
 			l.phaseStart = now
 			return nil, Pending
 		case view.Prepared != l.fenceVersion:
@@ -170,7 +170,7 @@
 	}
 	if len(orders) > 0 {
 		if now.Sub(l.phaseStart) > fenceTimeout {
-			l.fenceVersion = l.nextVersion(max(highestVersion(views), l.fenceVersion))
+			l.fenceVersion = l.newVersion(views, l.fenceVersion)
 			l.phaseStart = now
 			return nil, Pending
 		}
@@ -178,6 +178,11 @@
 	}
 	for rank, view := range views {
 		if view.Held && rank != l.missingRank {
+			if view.HeldPass > max(taggedPass(l.fenceVersion, l.epoch, newestPass(views)), newestPass(views)) {
+				// The ranks' versions must show the pass before it is released.
+				l.enterFence(views, now)
+				return nil, Pending
+			}
 			orders = append(orders, l.newOrder(rank, Release, 0, view.HeldPass))
 		}
 	}
