internal/edge, pkg/fresh: entries vouch for the age of evidence, not for a watch

Cause: in a fleet of more than eight entries six watch the store, and the others took "I watch the store" in a hello for "the store answered lately". A watch that gets no answer looks like one without changes, so that six cut entries vouched for an old configuration for up to 5 s.

Why the fix works: a hello carries the age of the evidence that the sender's revision is the newest: the time since a call was sent that the store answered, whoever made it. Each entry counts on, by both clocks, and asks the store itself once the age is over its share of the deadline, at a random moment of 300 ms; the first answer is told to all.

Ruled out: lost hellos; entries that hear of a version and don't adopt it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -140,6 +140,13 @@
 				s.EachLimit(func(endpoint *table.Endpoint, perSecond float64) { report(int64(1000*perSecond), endpoint.ID()) })
 			}
 		})
+	metrics.Gauge("lentilstand_store_evidence_age_ms", "Time since the view was shown to be current by a call to the store, of any entry.", "what",
+		func(report func(int64, string)) {
+			if evidence := e.storeSyncer.evidence.Latest(); !evidence.At().IsZero() {
+				report(evidence.Age(time.Now()).Milliseconds(), "age")
+			}
+		})
+	e.storeSyncer.asks = metrics.Counter("lentilstand_store_asks", "Calls to the store for want of recent evidence, by what they showed.", "result")
 	e.addPaceMetrics(metrics)
 	e.addAdmissionMetrics(metrics)
 	e.measureForecasts(metrics)
@@ -191,7 +198,7 @@
 		}
 	}
 	event.ProcessStarted.Log(e.logger, zap.String("listen", settings.ListenAddress()), zap.String("store", settings.StoreAddress()))
-	for _, loop := range []func(context.Context){e.storeSyncer.run, e.storeSyncer.register, e.peers.run, e.detector.run, e.maintain} {
+	for _, loop := range []func(context.Context){e.storeSyncer.run, e.storeSyncer.verify, e.storeSyncer.register, e.peers.run, e.detector.run, e.maintain} {
 		e.background.Go(func() { loop(ctx) })
 	}
 	return nil
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -11,7 +12,9 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/event"
+	"github.com/lentilstand/lentilstand/internal/meter"
 	"github.com/lentilstand/lentilstand/internal/prefs"
+	"github.com/lentilstand/lentilstand/pkg/fresh"
 	"github.com/lentilstand/lentilstand/pkg/mirror"
 	"github.com/lentilstand/lentilstand/pkg/store"
 	"github.com/lentilstand/lentilstand/pkg/table"
@@ -37,9 +40,13 @@
 	// larger one, relayWatchers entries watch it and relay changes to the others.
 	maxAllWatching = 8
 	relayWatchers  = 6
-	// relayTimeout is how long an entry that does not watch the store may go without
-	// contact to one that does before it starts to watch.
-	relayTimeout = time.Second
+	// askSpread is the span in which entries whose evidence has become too old ask the
+	// store. The first one that is answered tells the others, so that a few of a hundred ask.
+	askSpread = 300 * time.Millisecond
+	// askWait is how long the store may wait for changes before it answers such a call.
+	askWait = time.Millisecond
+	// askRetry is the time from one such call without an answer to the next.
+	askRetry = 700 * time.Millisecond
 	// retryDelay is the delay after a failed call.
 	retryDelay = 300 * time.Millisecond
 	// gapThreshold is the time without a successful call after which leases may have
@@ -58,11 +65,17 @@
 type storeSyncer struct {
 	entry *Entry
 
-	mu        sync.Mutex
-	state     *mirror.State
+	// evidence tells how recently the view was current, whoever asked the store.
+	evidence *fresh.Tracker
+
+	mu    sync.Mutex
+	state *mirror.State
+	// reachable is set if the store answered this entry's last call.
 	reachable bool
-	// lastContact is when the store last responded to this entry, or a watching entry
-	// last confirmed the revision of the view.
+	// disconnected is set while there is no evidence since a call of this entry has failed.
+	disconnected bool
+	// lastContact is when the store last answered this entry, or the moment of the evidence
+	// that another entry has passed on.
 	lastContact time.Time
 	// expiryGraceUntil is the end of the grace period after the last gap; see graceUntil.
 	expiryGraceUntil time.Time
@@ -76,13 +89,15 @@
 	// loggedIgnored are the endpoints that were last logged as ignored, with the reason.
 	loggedIgnored map[string]string
 
+	asks meter.Counter
+
 	leaseMu      sync.Mutex
 	lease        uint64
 	deregistered bool
 }
 
 func newStoreSyncer(e *Entry) *storeSyncer {
-	s := &storeSyncer{entry: e, state: mirror.New(platform.Decode)}
+	s := &storeSyncer{entry: e, state: mirror.New(platform.Decode), evidence: fresh.New(askSpread)}
 	s.applySettings(e.settings.Load())
 	return s
 }
@@ -143,11 +158,85 @@
 }
 
 // shouldWatch reports whether this entry watches the store itself. In a small fleet all
-// entries do; in a large one those whose names have the lowest hashes do, and any entry
-// that has lost contact to those.
+// entries do; in a large one those whose names have the lowest hashes do.
 func (s *storeSyncer) shouldWatch() bool {
 	position, members := s.hashOrder()
-	return members <= maxAllWatching || position < relayWatchers || s.entry.peers.sinceRelay() > relayTimeout
+	return members <= maxAllWatching || position < relayWatchers
+}
+
+// evidenceLimit returns the age of evidence in a fleet of a size from which an entry asks the
+// store itself. Younger evidence comes without that: the first watch that ends gives it, and
+// hellos pass it on to all entries in some rounds. With askSpread and the time of a call, a
+// change reaches an entry in time whoever of the others has lost contact to the store.
+func evidenceLimit(members int) time.Duration {
+	rounds := 1 + math.Ceil(math.Log(float64(max(1, members)))/math.Log(1+helloFanout))
+	return minWatchTimeout + coalesceDelay + time.Duration(rounds)*helloPeriod
+}
+
+// verify asks the store whenever there is no evidence that is recent enough, until ctx ends.
+func (s *storeSyncer) verify(ctx context.Context) {
+	for ctx.Err() == nil {
+		limit := evidenceLimit(len(s.entry.view.Load().Members()))
+		wait := s.evidence.AskIn(time.Now(), limit, askRetry)
+		if s.revision() == 0 {
+			// The first read isn't done.
+			wait = helloPeriod
+		}
+		if wait > 0 {
+			sleep(ctx, min(wait, limit))
+			continue
+		}
+		s.ask(ctx)
+	}
+}
+
+// ask asks the store for changes without waiting for any, and tells the other entries that the
+// view is current.
+func (s *storeSyncer) ask(ctx context.Context) {
+	sentAt := time.Now()
+	after, age := s.revision(), s.evidence.Latest().Age(sentAt)
+	changes, revision, err := s.entry.store.Changes(ctx, allKeys, after, askWait)
+	result := "current"
+	switch {
+	case ctx.Err() != nil:
+		return
+	case eris.Is(err, platform.ErrHistoryCompacted):
+		result, err = "read_all", s.readAll(ctx)
+	case err == nil && revision < after:
+		result = "older"
+		event.VersionWentBack.Log(s.entry.logger, zap.Uint64("known_term", after), zap.Uint64("shown_term", revision))
+	case err == nil:
+		if len(changes) > 0 {
+			result = "changed"
+		}
+		s.mu.Lock()
+		s.applyAnswer(changes, revision, sentAt, "ask")
+		s.mu.Unlock()
+	}
+	if err != nil {
+		result = "failed"
+	} else {
+		event.StoreAsked.Log(s.entry.logger, zap.Int64("age_ms", age.Milliseconds()), zap.Uint64("revision", revision), zap.String("result", result))
+	}
+	s.asks.Add(1, result)
+	s.evidence.Asked(time.Now(), err == nil && result != "older")
+	s.setReachable(ctx, err)
+	if result == "current" || result == "changed" {
+		s.entry.peers.broadcast()
+	}
+}
+
+// applyAnswer applies the answer to a call for changes, which shows that the store's newest
+// revision was the given one at a moment. The caller holds s.mu.
+func (s *storeSyncer) applyAnswer(changes []store.Change, revision uint64, at time.Time, source string) {
+	now := time.Now()
+	graceUntil := s.graceUntil(now)
+	if len(changes) > 0 {
+		s.state.Apply(changes, revision, now, graceUntil)
+		s.publish(source)
+	}
+	s.lastContact, s.disconnected = now, false
+	s.confirm(revision, fresh.Seen(at))
 }
 
 // watchTimeout returns how long this entry's watch waits for changes.
@@ -165,6 +254,7 @@
 
 // readAll reads all keys and replaces the view.
 func (s *storeSyncer) readAll(ctx context.Context) error {
+	sentAt := time.Now()
 	snapshot, err := s.entry.store.Read(ctx, allKeys)
 	if err != nil {
 		return err
@@ -178,8 +268,9 @@
 		return eris.New("the store returned an older revision")
 	}
 	event.PictureTaken.Log(s.entry.logger, zap.String("source", "store"), zap.Uint64("revision", snapshot.Revision()), zap.Bool("after_gap", now.Before(graceUntil)))
-	s.lastContact = now
+	s.lastContact, s.disconnected = now, false
 	s.publish("store")
+	s.confirm(snapshot.Revision(), fresh.Seen(sentAt))
 	return nil
 }
 
@@ -189,7 +280,7 @@
 // start anew with a later removal: the store has accepted that one while it was
 // reachable, and an endpoint that it removes then is leaving. The caller holds s.mu.
 func (s *storeSyncer) graceUntil(now time.Time) time.Time {
-	if !s.lastContact.IsZero() && now.Sub(s.lastContact) > maxWatchTimeout+gapThreshold || !s.reachable && !s.lastContact.IsZero() {
+	if !s.lastContact.IsZero() && now.Sub(s.lastContact) > maxWatchTimeout+gapThreshold || s.disconnected && !s.lastContact.IsZero() {
 		s.expiryGraceUntil = now.Add(mirror.ExpiryGrace)
 	}
 	return s.expiryGraceUntil
@@ -203,10 +294,23 @@
 	after := s.state.Revision()
 	s.cancelWatch = cancel
 	s.mu.Unlock()
-	changes, revision, err := s.entry.store.Changes(ctx, allKeys, after, s.watchTimeout())
+	wait, sentAt := s.watchTimeout(), time.Now()
+	changes, revision, err := s.entry.store.Changes(ctx, allKeys, after, wait)
 	if len(changes) > 0 {
 		defer sleep(ctx, coalesceDelay)
 	}
+	if err := s.endWatch(after, changes, revision, sentAt, wait, err); err != nil {
+		return err
+	}
+	if err == nil && len(changes) > 0 {
+		s.entry.peers.broadcast()
+	}
+	return nil
+}
+
+// endWatch applies the answer to a watch that was sent at a moment to wait for changes after
+// the view's revision, or returns its error unless the watch was cancelled.
+func (s *storeSyncer) endWatch(after uint64, changes []store.Change, revision uint64, sentAt time.Time, wait time.Duration, err error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	wasCancelled := s.cancelWatch == nil
@@ -217,17 +321,16 @@
 		}
 		return err
 	}
-	now := time.Now()
-	if len(changes) == 0 {
-		s.lastContact = now
-		s.state.Confirm(now)
-		s.entry.view.Store(s.state.View())
-		return nil
+	if revision < after {
+		event.VersionWentBack.Log(s.entry.logger, zap.Uint64("known_term", after), zap.Uint64("shown_term", revision))
+		return eris.New("the store answered a watch with an older revision")
+	}
+	at := sentAt
+	if len(changes) == 0 && time.Since(sentAt) >= wait {
+		// The store has waited for so long before it answered.
+		at = sentAt.Add(wait)
 	}
-	s.state.Apply(changes, revision, now, s.graceUntil(now))
-	s.lastContact = now
-	s.publish("watch")
-	s.entry.peers.broadcast(s.state.Revision())
+	s.applyAnswer(changes, revision, at, "watch")
 	return nil
 }
 
@@ -246,6 +349,7 @@
 		event.PictureTaken.Log(s.entry.logger, zap.String("source", peer), zap.Uint64("revision", update.revision))
 	}
 	s.publish(peer)
+	s.noteEvidence()
 	if s.cancelWatch != nil {
 		// The running watch has missed the peer's changes.
 		event.WatchBehind.Log(s.entry.logger, zap.String("peer", peer), zap.Uint64("revision", update.revision))
@@ -254,24 +358,39 @@
 	}
 }
 
-// confirm records that an entry that watches the store announced a revision. If it is
-// the view's and no watch is running here, the view is current.
-func (s *storeSyncer) confirm(revision uint64) {
+// confirm records evidence that the store's newest revision was the given one. The caller
+// holds s.mu.
+func (s *storeSyncer) confirm(revision uint64, evidence fresh.Evidence) {
+	if !s.evidence.Confirm(revision, evidence) {
+		return
+	}
+	s.state.Confirm(evidence.At())
+	s.entry.view.Store(s.state.View())
+}
+
+// receiveEvidence records evidence that another entry has passed on.
+func (s *storeSyncer) receiveEvidence(revision uint64, evidence fresh.Evidence) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if revision == s.state.Revision() && s.cancelWatch == nil {
-		now := time.Now()
-		s.lastContact = now
-		s.state.Confirm(now)
-		s.entry.view.Store(s.state.View())
+	s.confirm(revision, evidence)
+	s.noteEvidence()
+}
+
+// noteEvidence ends the time without contact to the store if there is evidence of a later
+// moment. The caller holds s.mu.
+func (s *storeSyncer) noteEvidence() {
+	if at := s.evidence.Latest().At(); at.After(s.lastContact) {
+		s.graceUntil(time.Now())
+		s.lastContact, s.disconnected = at, false
 	}
 }
 
-// isWatching reports whether a watch is running here and the store responded recently.
+// isWatching reports whether a watch is running here and there is recent evidence.
 func (s *storeSyncer) isWatching() bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.reachable && s.cancelWatch != nil && time.Since(s.lastContact) < maxWatchTimeout+gapThreshold
+	watching := s.reachable && s.cancelWatch != nil
+	s.mu.Unlock()
+	return watching && s.evidence.Latest().Age(time.Now()) < evidenceLimit(len(s.entry.view.Load().Members()))
 }
 
 // publish makes the latest view the entry's. Source is the logged origin of the change: a
@@ -283,6 +402,7 @@
 			event.ItemUnreadable.Log(logger, zap.String("key", finding.Key()), event.Error(finding.Err()))
 		}
 	}
+	s.evidence.Advance(s.state.Revision())
 	view := s.state.View()
 	if t := view.Table(); t != nil && t.Version() != s.loggedVersion {
 		s.loggedVersion = t.Version()
@@ -361,6 +481,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.disconnected = s.disconnected || cause != nil
 	if reachable := cause == nil; reachable != s.reachable {
 		s.reachable = reachable
 		if reachable {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -15,6 +15,7 @@
 	"github.com/lentilstand/lentilstand/internal/link"
 	"github.com/lentilstand/lentilstand/internal/parts"
 	"github.com/lentilstand/lentilstand/internal/wirepb"
+	"github.com/lentilstand/lentilstand/pkg/fresh"
 	"github.com/lentilstand/lentilstand/pkg/sched"
 	"github.com/lentilstand/lentilstand/pkg/store"
 	"github.com/lentilstand/lentilstand/pkg/table"
@@ -79,7 +80,6 @@
 	newestPeer     string
 	newestAddress  netip.AddrPort
 	targets        roundRobin
-	relay          relayContact
 	// wake is signalled when a peer announces a newer revision.
 	wake chan struct{}
 }
@@ -94,14 +94,6 @@
 	pairs    []store.Pair
 }
 
-// sinceRelay returns the time since an entry that watches the store was last heard, here
-// or by a peer.
-func (p *peers) sinceRelay() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return time.Since(p.relay.at)
-}
-
 func newPeers(e *Entry) *peers {
 	return &peers{entry: e, lastHello: make(map[string]time.Time), leaving: make(map[string]bool), wake: make(chan struct{}, 1), targets: newRoundRobin()}
 }
@@ -194,20 +186,20 @@
 // sendHellos announces this entry's revision to the next members in turn.
 func (p *peers) sendHellos() {
 	e := p.entry
-	message := p.helloMessage(e.storeSyncer.revision(), e.storeSyncer.isWatching(), rand.IntN(fullReportInterval) == 0)
+	message := p.helloMessage(rand.IntN(fullReportInterval) == 0)
 	for _, member := range p.targets.next(e.view.Load().Members()) {
 		p.send(member, message)
 	}
 }
 
-// broadcast announces a revision that was just read to all members, if the fleet is so
-// large that some of them do not watch the store.
-func (p *peers) broadcast(revision uint64) {
+// broadcast announces the revision that the store has just shown to all members, if the fleet
+// is so large that some of them do not watch the store.
+func (p *peers) broadcast() {
 	members := p.entry.view.Load().Members()
 	if len(members) <= maxAllWatching {
 		return
 	}
-	message := p.helloMessage(revision, true, false)
+	message := p.helloMessage(false)
 	for _, member := range members {
 		p.send(member, message)
 	}
@@ -237,7 +229,7 @@
 
 // announce sends a hello to all members.
 func (p *peers) announce() {
-	message := p.helloMessage(p.entry.storeSyncer.revision(), p.entry.storeSyncer.isWatching(), false)
+	message := p.helloMessage(false)
 	for _, member := range p.entry.view.Load().Members() {
 		p.send(member, message)
 	}
@@ -246,7 +238,7 @@
 // sendSuspects sends all that this entry knows about suspects to an entry that has just
 // started, and that would send them to endpoints until it hears of them.
 func (p *peers) sendSuspects(address netip.AddrPort) {
-	message := p.helloMessage(p.entry.storeSyncer.revision(), p.entry.storeSyncer.isWatching(), true)
+	message := p.helloMessage(true)
 	hello := message.GetHello()
 	if len(hello.GetParts()) == 0 && len(hello.GetSuspects()) == 0 {
 		return
@@ -264,7 +256,10 @@
 
 // helloMessage returns a hello. It has all suspects if full is set, otherwise those that
 // have changed recently.
-func (p *peers) helloMessage(revision uint64, watching, full bool) *wirepb.Datagram {
+func (p *peers) helloMessage(full bool) *wirepb.Datagram {
+	// Evidence covers each later revision, but no earlier one.
+	evidence := p.entry.storeSyncer.evidence.Latest()
+	watching, revision := p.entry.storeSyncer.isWatching(), p.entry.storeSyncer.revision()
 	reports := p.entry.parts.tracker.Export(time.Now())
 	if full {
 		reports = p.entry.parts.tracker.ExportAll(time.Now())
@@ -281,9 +276,7 @@
 
 		Pressures: encodePressures(p.entry.allServices()),
 	}
-	p.mu.Lock()
-	p.relay.writeTo(hello, time.Now())
-	p.mu.Unlock()
+	writeEvidence(hello, evidence, time.Now())
 	return &wirepb.Datagram{Body: &wirepb.Datagram_Hello{Hello: hello}}
 }
 
@@ -319,32 +312,26 @@
 	return limits
 }
 
-// relayContact is when an entry that watches the store was last heard, here or by a peer.
-// Hellos pass it on, since in a large fleet each entry hears any other one only every
-// few seconds.
-type relayContact struct {
-	at time.Time
-}
+// maxEvidenceAge limits the age of evidence that hellos pass on.
+const maxEvidenceAge = time.Hour
 
-// writeTo writes the age of the last contact to a hello.
-func (r *relayContact) writeTo(hello *wirepb.Hello, now time.Time) {
-	if !r.at.IsZero() {
-		age := uint32(min(max(0, now.Sub(r.at)), time.Hour).Milliseconds())
-		hello.RelayAgeMs = &age
+// writeEvidence writes evidence to a hello. Its age is rounded up.
+func writeEvidence(hello *wirepb.Hello, evidence fresh.Evidence, now time.Time) {
+	age := evidence.Age(now)
+	if !evidence.CanRelay() || age > maxEvidenceAge {
+		return
 	}
+	milliseconds := uint32((age + time.Millisecond - 1).Milliseconds())
+	hello.StoreAgeMs, hello.RelayAgeMs, hello.StoreHops = &milliseconds, &milliseconds, uint32(evidence.Hops())
 }
 
-// update updates the last contact from a peer's hello.
-func (r *relayContact) update(hello *wirepb.Hello, now time.Time) {
-	switch {
-	case hello.GetWatching():
-		r.at = now
-	case hello.RelayAgeMs != nil:
-		at := now.Add(-time.Duration(hello.GetRelayAgeMs()) * time.Millisecond)
-		if at.After(r.at) {
-			r.at = at
-		}
+// readEvidence returns the evidence in a hello, and whether there is any.
+func readEvidence(hello *wirepb.Hello, now time.Time) (fresh.Evidence, bool) {
+	if hello.StoreAgeMs == nil || hello.GetStoreHops() > fresh.MaxHops {
+		return fresh.Evidence{}, false
 	}
+	age := time.Duration(hello.GetStoreAgeMs()) * time.Millisecond
+	return fresh.Relayed(now.Add(-age), int(hello.GetStoreHops())), true
 }
 
 func (p *peers) send(member table.Member, message *wirepb.Datagram) {
@@ -455,19 +442,18 @@
 		p.sendSuspects(from)
 	}
 	known := p.entry.storeSyncer.revision()
-	if hello.GetWatching() {
-		p.entry.storeSyncer.confirm(hello.GetRevision())
+	now := time.Now()
+	if evidence, ok := readEvidence(hello, now); ok {
+		p.entry.storeSyncer.receiveEvidence(hello.GetRevision(), evidence)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
 	p.lastHello[hello.GetName()] = now
 	if hello.GetLeaving() {
 		p.leaving[hello.GetName()] = true
 	} else {
 		delete(p.leaving, hello.GetName())
 	}
-	p.relay.update(hello, now)
 	if hello.GetRevision() <= known {
 		return
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -106,6 +106,7 @@
 	WatchBehind      = register(5015, "watch_behind", warnLevel, "A peer has read a newer revision of the store than the watch has delivered.")
 	DemandStored     = register(5016, "demand_stored", debugLevel, "The demand for the experts of a service was written to the store, for its leader to plan by when the group opens again.")
 	DemandUnstored   = register(5017, "demand_unstored", infoLevel, "The demand for the experts of a service could not be written to the store; the next one follows.")
+	StoreAsked       = register(5018, "store_asked", infoLevel, "The entry asked the store itself, since the newest evidence that its view is current was `age_ms` old; `result` tells what the answer showed.")
 	VersionDropped   = register(5009, "version_dropped", infoLevel, "A staged version was rejected.")
 )
 
