internal/edge: a registration is conditional, and done when it is seen

Cause: an entry registered by a write without a condition, and took another lease when that got no answer. The write, carried out 2.2 s late, attached the key to the first lease, with which it went. The entry renewed a lease without a key, and nobody told it of crashes any more.

Why the fix works: the lease is kept while it lives, each lease has a value of its own, and the key is written on condition of its last revision, so that a write that is late either finds the value there or its lease ended. The entry looks for its value in its view with each renewal and writes it again if it has gone. An entry also registers as soon as it is ready, where it served for up to a second before.

Ruled out: loss of the renewals (the record has them answered).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -65,6 +65,7 @@
 	active atomic.Int64
 
 	storeSyncer  *storeSyncer
+	registration *registration
 	peers        *peers
 	demands      *demands
 	budget       budget
@@ -112,6 +113,7 @@
 	e.settings.Store(&settings)
 	e.limitMemory(settings.Limits())
 	e.storeSyncer = newStoreSyncer(e)
+	e.registration = newRegistration(e, metrics)
 	e.peers = newPeers(e)
 	e.demands = newDemands(e, metrics)
 	e.parts = &partGuard{entry: e}
@@ -198,7 +200,7 @@
 		}
 	}
 	event.ProcessStarted.Log(e.logger, zap.String("listen", settings.ListenAddress()), zap.String("store", settings.StoreAddress()))
-	for _, loop := range []func(context.Context){e.storeSyncer.run, e.storeSyncer.verify, e.storeSyncer.register, e.peers.run, e.detector.run, e.maintain} {
+	for _, loop := range []func(context.Context){e.storeSyncer.run, e.storeSyncer.verify, e.registration.run, e.peers.run, e.detector.run, e.maintain} {
 		e.background.Go(func() { loop(ctx) })
 	}
 	return nil
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -21,7 +21,7 @@
 	"github.com/lentilstand/lentilstand/platform"
 )
 
-// Timing of watches and of the registration. Every call to the store is charged, so a
+// Timing of watches. Every call to the store is charged, so a
 // watch waits as long as the limit on the age of the view permits. A peer with a newer
 // revision ends it early.
 const (
@@ -53,9 +53,6 @@
 	// expired unnoticed, in addition to the longest watch. It is the shortest lease in
 	// use.
 	gapThreshold = time.Second
-	// memberTTL is the lease of an entry's registration, renewed every memberRenewal.
-	memberTTL     = 3 * time.Second
-	memberRenewal = time.Second
 )
 
 // allKeys is the prefix of every key.
@@ -90,10 +87,6 @@
 	loggedIgnored map[string]string
 
 	asks meter.Counter
-
-	leaseMu      sync.Mutex
-	lease        uint64
-	deregistered bool
 }
 
 func newStoreSyncer(e *Entry) *storeSyncer {
@@ -465,6 +458,14 @@
 	return stateUpdate{revision: s.state.Revision(), pairs: s.state.Pairs()}
 }
 
+// lookup returns the pair of a key in the view and the view's revision.
+func (s *storeSyncer) lookup(key string) (pair store.Pair, found bool, revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pair, found = s.state.Lookup(key)
+	return pair, found, s.state.Revision()
+}
+
 func (s *storeSyncer) revision() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -491,65 +492,3 @@
 		}
 	}
 }
-
-// register keeps the entry registered as a member while it is ready.
-func (s *storeSyncer) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		s.leaseMu.Lock()
-		err := s.renew(ctx)
-		s.leaseMu.Unlock()
-		if err != nil {
-			sleep(ctx, retryDelay)
-			continue
-		}
-		sleep(ctx, memberRenewal)
-	}
-}
-
-// renew renews the registration's lease, or registers the entry if it has none. The
-// caller holds s.leaseMu.
-func (s *storeSyncer) renew(ctx context.Context) error {
-	if s.deregistered || s.entry.NotReadyReason() != "" {
-		return nil
-	}
-	e := s.entry
-	if s.lease != 0 {
-		err := e.store.KeepAlive(ctx, s.lease)
-		if !eris.Is(err, store.ErrLeaseExpired) {
-			return err
-		}
-		event.MemberLost.Log(e.logger, zap.Uint64("lease", s.lease))
-		s.lease = 0
-	}
-	lease, err := e.store.Grant(ctx, memberTTL)
-	if err != nil {
-		return err
-	}
-	settings := e.settings.Load()
-	key, value := platform.MemberPair(table.NewMember(settings.Name(), settings.DataCentre(), settings.ListenAddress(), settings.PeerAddress()))
-	if err := e.store.Write(ctx, key, value, lease); err != nil {
-		return err
-	}
-	s.lease = lease
-	event.MemberJoined.Log(e.logger, zap.Uint64("lease", lease))
-	return nil
-}
-
-// deregisterTimeout limits the call that deregisters an entry.
-const deregisterTimeout = time.Second
-
-// deregister revokes the registration's lease, so that directories stop listing the
-// entry.
-func (s *storeSyncer) deregister() {
-	s.leaseMu.Lock()
-	defer s.leaseMu.Unlock()
-	s.deregistered = true
-	if s.lease == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
-	defer cancel()
-	if err := s.entry.store.Revoke(ctx, s.lease); err != nil {
-		event.StoreUnreachable.Log(s.entry.logger, zap.String("reason", "the registration's lease could not be revoked; it will expire"), event.Error(err))
-	}
-}
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -36,12 +38,17 @@
 	// keepsConnection makes call leave its connection open. An entry closes an endpoint's
 	// connection if the caller has gone when the answer ends.
 	keepsConnection bool
+
+	mu sync.Mutex
+	// late returns how much later a call to the store is carried out, without an answer, zero
+	// for a call that is answered.
+	late func(r *http.Request) time.Duration
 }
 
 func newSite(t *testing.T) *site {
 	s := &site{t: t, kv: stand.NewKV(), replicas: make(map[string]*fakes.Replica)}
 	s.store = fakes.NewStore(s.kv)
-	server := httptest.NewServer(s.store)
+	server := httptest.NewServer(http.HandlerFunc(s.serveStore))
 	s.address = server.Listener.Addr().String()
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -50,6 +57,31 @@
 	return s
 }
 
+// delayCalls makes late decide which calls to the store are carried out late.
+func (s *site) delayCalls(late func(r *http.Request) time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = late
+}
+
+// serveStore serves a call to the store, or carries it out late.
+func (s *site) serveStore(w http.ResponseWriter, r *http.Request) {
+	delay := time.Duration(0)
+	s.mu.Lock()
+	if s.late != nil {
+		delay = s.late(r)
+	}
+	s.mu.Unlock()
+	if delay == 0 {
+		s.store.ServeHTTP(w, r)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	call := httptest.NewRequest(r.Method, r.URL.String(), bytes.NewReader(body))
+	time.AfterFunc(delay, func() { s.store.ServeHTTP(httptest.NewRecorder(), call) })
+	<-r.Context().Done()
+}
+
 // write writes a key to the store, as the operator and replicas do.
 func (s *site) write(key, value string) {
 	var txn stand.Txn
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -44,7 +44,7 @@
 	e.clients.DisableKeepAlives()
 	e.peers.announceLeaving()
 	// The store may not respond, and the time until the deadline counts from the signal.
-	e.background.Go(e.storeSyncer.deregister)
+	e.background.Go(e.registration.end)
 	sleep(graceful, acceptWhileLeaving)
 	left := e.clients.Shutdown(graceful)
 	e.cancel()
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -113,7 +113,7 @@
 // Events of membership.
 var (
 	MemberJoined   = register(6001, "member_joined", infoLevel, "The process is registered as a member.")
-	MemberLost     = register(6002, "member_lost", warnLevel, "The lease of the process expired; it registers again.")
+	MemberLost     = register(6002, "member_lost", warnLevel, "The lease of the process expired, or its key has gone; it registers again.")
 	PeerUnreadable = register(6003, "peer_unreadable", warnLevel, "The entry of a member in the key-value service cannot be decoded.")
 )
 
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -176,6 +176,12 @@
 	return pairs
 }
 
+// Lookup returns the pair of a key, unless the key is unknown or in its grace period.
+func (s *State) Lookup(key string) (store.Pair, bool) {
+	rec, ok := s.records[key]
+	return rec.pair, ok && rec.expires.IsZero()
+}
+
 // ChangesSince returns the changes after a revision, as input for a peer. It returns
 // false if the state may no longer know all of them.
 func (s *State) ChangesSince(revision uint64) ([]store.Change, bool) {
