internal/edge: a late write doesn't replace a newer demand for experts

Evidence: TestLateDemandDoesNotReplaceNewerOne fails before ([255 0 7] in place of [255 255 0]). Why the fix works: the write is on condition of the revision in the view. A write that conflicts is dropped, as the next demand follows.

--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -122,10 +122,15 @@
 	}
 }
 
-// write writes a demand to the store. The last write wins, since a demand is only a hint.
+// write writes a demand to the store, on condition of the one in the view. A write that is carried
+// out late therefore doesn't replace a newer demand.
 func (d *demands) write(ctx context.Context, stored demand.Stored) {
 	key, value := platform.DemandPair(stored)
-	err := d.entry.store.Write(ctx, key, value, 0)
+	expected := uint64(0)
+	if pair, found, _ := d.entry.storeSyncer.lookup(key); found {
+		expected = pair.Revision()
+	}
+	_, err := d.entry.store.Put(ctx, key, value, expected, 0)
 	if err == nil {
 		d.handled.Add(1, "written")
 		event.DemandStored.Log(d.entry.logger, zap.String("service", stored.Service()), zap.Int("bytes", len(value)))
--- a/internal/edge/demand_test.go
+++ b/internal/edge/demand_test.go
@@ -134,3 +134,23 @@
 	}, 5*time.Second, 50*time.Millisecond)
 	require.Equal(t, []byte{255, 255, 0}, (<-demands).GetWeights())
 }
+
+// TestLateDemandDoesNotReplaceNewerOne guards against a group that opens by an outdated demand: a
+// write that gets no answer is carried out after another entry has stored a newer demand.
+func TestLateDemandDoesNotReplaceNewerOne(t *testing.T) {
+	const delay = 1500 * time.Millisecond
+	s, agent, _ := startDemandSite(t)
+	require.Eventually(t, s.lists(1, 2), registrationLimit, 10*time.Millisecond)
+	late, delayed := delayFirst("entry-0", "kv-txn", delay)
+	s.delayCalls(late)
+	s.sendTo(0, agent, demandMessage(255, 0, 7))
+	agent.Close()
+	select {
+	case <-delayed:
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the demand isn't written")
+	}
+	s.write(demandKey, `{"sets": 1, "experts": 3, "weights": "//8A"}`)
+	time.Sleep(delay + time.Second)
+	require.Equal(t, []byte{255, 255, 0}, s.storedWeights())
+}
