internal/edge: entries that say hello hear of news, members or not

Cause: hellos went to members only and were answered to nobody. An entry whose lease has ended, or that serves before it is registered, is no member.

Why the fix works: the sender of a hello that is no member is a guest, and gets hellos and announcements in turn with the members for as long as it is heard. It fetches what it lacks as any entry does.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,6 +81,7 @@
 	newestPeer     string
 	newestAddress  netip.AddrPort
 	targets        roundRobin
+	guests         guests
 	// wake is signalled when a peer announces a newer revision.
 	wake chan struct{}
 }
@@ -185,23 +187,17 @@
 
 // sendHellos announces this entry's revision to the next members in turn.
 func (p *peers) sendHellos() {
-	e := p.entry
 	message := p.helloMessage(rand.IntN(fullReportInterval) == 0)
-	for _, member := range p.targets.next(e.view.Load().Members()) {
+	for _, member := range p.targets.next(p.audience()) {
 		p.send(member, message)
 	}
 }
 
-// broadcast announces the revision that the store has just shown to all members, if the fleet
-// is so large that some of them do not watch the store.
+// broadcast announces the revision that the store has just shown to all, if the fleet is so large
+// that some entries do not watch the store.
 func (p *peers) broadcast() {
-	members := p.entry.view.Load().Members()
-	if len(members) <= maxAllWatching {
-		return
-	}
-	message := p.helloMessage(false)
-	for _, member := range members {
-		p.send(member, message)
+	if len(p.entry.view.Load().Members()) > maxAllWatching {
+		p.announce()
 	}
 }
 
@@ -227,14 +223,22 @@
 // don't list it any more, whatever the store says.
 func (p *peers) announceLeaving() { p.announce() }
 
-// announce sends a hello to all members.
+// announce sends a hello to all members and guests.
 func (p *peers) announce() {
 	message := p.helloMessage(false)
-	for _, member := range p.entry.view.Load().Members() {
+	for _, member := range p.audience() {
 		p.send(member, message)
 	}
 }
 
+// audience returns the members, and the guests as if they were members without a name.
+func (p *peers) audience() []table.Member {
+	view := p.entry.view.Load()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Concat(view.Members(), p.guests.list(view, time.Now()))
+}
+
 // sendSuspects sends all that this entry knows about suspects to an entry that has just
 // started, and that would send them to endpoints until it hears of them.
 func (p *peers) sendSuspects(address netip.AddrPort) {
@@ -454,6 +458,7 @@
 	} else {
 		delete(p.leaving, hello.GetName())
 	}
+	p.guests.hear(p.entry.view.Load(), from, hello.GetLeaving(), now)
 	if hello.GetRevision() <= known {
 		return
 	}
