pkg/group: a tag without a pass delays no switch

Cause: a tag of eight bits had no value for "no pass", so that zero stood for pass 512 to a leader at pass 485, and its switch got the pass after that. Why the fix works: a tag without a pass is zero, and others tell 1,023 passes apart. TestBusyGroupIsSwitchedSoon fails before. The model test didn't find it, as its walks have fewer than 256 passes.

--- a/pkg/group/idle_test.go
+++ b/pkg/group/idle_test.go
@@ -151,3 +151,33 @@
 	g.pass = last
 	require.Greater(t, g.switchUntilHeld(t), last, "no switch after the group has made passes")
 }
+
+// TestBusyGroupIsSwitchedSoon guards against a switch that waits for many passes because the version
+// in use seems to tell of a release that was given long ago.
+func TestBusyGroupIsSwitchedSoon(t *testing.T) {
+	g := newIdleGroup(4)
+	late := 0
+	for range 300 {
+		g.pass += 7
+		held := g.switchUntilHeld(t)
+		if held > g.pass+14 {
+			late++
+		}
+		// The switch ends: all ranks are armed, and the pass begins.
+		for g.leader.Phase() != group.Idle {
+			for _, order := range g.step(false) {
+				g.ranks[order.Rank].apply(order, g.pass)
+			}
+			if g.ranks[1].held {
+				continue
+			}
+			g.pass = max(g.pass, held)
+			for i := range g.ranks {
+				if r := &g.ranks[i]; r.armed != 0 {
+					r.expertMap, r.prepared, r.armed, r.armedPass = r.armed, 0, 0, 0
+				}
+			}
+		}
+	}
+	require.Zero(t, late, "switches with a long lead")
+}
--- a/pkg/group/version.go
+++ b/pkg/group/version.go
@@ -1,13 +1,16 @@
 package group
 
 // A version ends in a tag with the highest pass that a leader may have ordered a rank to
-// release. Ranks keep their versions as long as the group's epoch lasts, so that a leader
-// without a memory of its own, such as that of a restarted process, learns the pass from
-// their reports. The tag has the low bits of the epoch and of the pass.
+// release, if that hasn't begun. Ranks keep their versions as long as the group's epoch lasts, so
+// that a leader without a memory of its own, such as that of a restarted process, learns the pass
+// from their reports. The tag has the remainder of the pass, and the low bits of the epoch. A tag
+// without a pass is zero.
 const (
-	tagPassBits  = 8
-	tagEpochBits = 4
+	tagPassBits  = 10
+	tagEpochBits = 2
 	tagBits      = tagPassBits + tagEpochBits
+	// tagPasses is the number of passes that tags distinguish.
+	tagPasses = 1<<tagPassBits - 1
 )
 
 // tagRange is how far the pass of a tag may be ahead of the newest pass that is reported,
@@ -16,9 +19,13 @@
 const tagRange = 2 * maxPassesAhead
 
 // tagVersion returns a version with a number that another version doesn't have, and the tag
-// of a pass.
+// of a pass, zero for none.
 func tagVersion(number, epoch, pass uint64) uint64 {
-	return number<<tagBits | epoch%(1<<tagEpochBits)<<tagPassBits | pass%(1<<tagPassBits)
+	version := number << tagBits
+	if pass != 0 {
+		version |= epoch%(1<<tagEpochBits)<<tagPassBits | (pass%tagPasses + 1)
+	}
+	return version
 }
 
 // versionNumber returns the number of a version without its tag.
@@ -27,13 +34,15 @@
 // taggedPass returns the pass of a version's tag if it hasn't begun. It returns zero otherwise,
 // and for a version of another epoch.
 func taggedPass(version, epoch, newest uint64) uint64 {
-	if version == 0 || version>>tagPassBits%(1<<tagEpochBits) != epoch%(1<<tagEpochBits) {
+	remainder := version % (1 << tagPassBits)
+	if remainder == 0 || version>>tagPassBits%(1<<tagEpochBits) != epoch%(1<<tagEpochBits) {
 		return 0
 	}
-	if ahead := (version - newest) % (1 << tagPassBits); ahead > 0 && ahead <= tagRange {
-		return newest + ahead
+	ahead := (remainder - 1 + tagPasses - newest%tagPasses) % tagPasses
+	if ahead == 0 || ahead > tagRange {
+		return 0
 	}
-	return 0
+	return newest + ahead
 }
 
 // usedPass returns the highest pass for which a release may still be carried out: the passes
