internal/rank: a fence has a map to send

Cause: the leader's cache of four maps dropped the one in use for newer ones that were never used, and a polled rank's report, which has no experts, took away the known ones. A fence then had no map.

The two new tests fail before.

Why the fix works: the map in use is the one that a fence sends, so it isn't evicted, and a rank with the same epoch and map has the same experts.

--- a/internal/rank/demand_test.go
+++ b/internal/rank/demand_test.go
@@ -169,7 +169,7 @@
 	for i := range r.ranks {
 		if state := &r.ranks[i]; state.Armed != 0 && state.ArmedPass == r.pass {
 			if i == 0 {
-				r.l.agent.plans.add(state.Armed, r.l.plan)
+				r.l.agent.plans.add(state.Armed, r.l.plan, 0)
 			}
 			state.Map, state.Armed, state.ArmedPass, state.Prepared = state.Armed, 0, 0, 0
 		}
--- a/internal/rank/lead.go
+++ b/internal/rank/lead.go
@@ -321,7 +321,8 @@
 	l.slowdowns[rank], l.knownMaps[rank] = report.GetPace(), knownMap{version: report.GetExpertMap(), known: report.GetMapKnown()}
 	if lists := decodeExperts(report.GetExperts()); len(lists) == shape.sets {
 		l.experts[rank] = lists
-	} else {
+	} else if !before.Known || before.Epoch != report.GetEpoch() || before.Map != report.GetExpertMap() {
+		// A rank that is polled directly reports no lists.
 		l.experts[rank] = nil
 	}
 	l.addCounts(report.GetCounts(), shape, now)
--- a/internal/rank/orders.go
+++ b/internal/rank/orders.go
@@ -314,7 +314,7 @@
 	if len(plan) == 0 {
 		return false
 	}
-	a.plans.add(order.GetVersion(), plan)
+	a.plans.add(order.GetVersion(), plan, a.state.Map)
 	return true
 }
 
@@ -354,19 +354,25 @@
 // maxPlans is how many maps an agent stores: the one in use and newer ones.
 const maxPlans = 4
 
-// planCache has the newest maps that the agent was ordered to prepare, by version.
+// planCache has the newest maps that the agent was ordered to prepare, by version, and the one in
+// use: a fence makes ranks prepare that again, however many newer ones were prepared meanwhile.
 type planCache struct {
 	versions []uint64
 	maps     [][][][]int
 }
 
-func (p *planCache) add(version uint64, experts [][][]int) {
+// add adds a map. Beyond maxPlans it removes the oldest one but that of version inUse.
+func (p *planCache) add(version uint64, experts [][][]int, inUse uint64) {
 	if p.find(version) != nil {
 		return
 	}
 	p.versions, p.maps = append(p.versions, version), append(p.maps, experts)
 	if len(p.versions) > maxPlans {
-		p.versions, p.maps = p.versions[1:], p.maps[1:]
+		oldest := 0
+		if p.versions[0] == inUse {
+			oldest = 1
+		}
+		p.versions, p.maps = slices.Delete(p.versions, oldest, oldest+1), slices.Delete(p.maps, oldest, oldest+1)
 	}
 }
 
--- a/internal/rank/plan_test.go
+++ b/internal/rank/plan_test.go
@@ -40,9 +40,9 @@
 	for _, tc := range testCases {
 		t.Run(tc.name, func(t *testing.T) {
 			a := &Agent{state: tc.state, shape: mapShape{sets: 1, experts: 4, slots: 2}}
-			a.plans.add(7, before)
+			a.plans.add(7, before, 0)
 			if tc.ordered {
-				a.plans.add(8, after)
+				a.plans.add(8, after, 0)
 			}
 			l := &leader{agent: a, experts: tc.reported, views: []group.View{{Map: tc.maps[0]}, {Map: tc.maps[1]}}}
 			got, version := l.currentMap()
@@ -89,7 +89,7 @@
 		logger: zap.NewNop(), socket: socket, shape: mapShape{sets: 16, experts: 258, slots: 3, spare: 2},
 		state: platform.RankState{Size: size, Group: "g", Epoch: 1, Map: 9, Open: true},
 	}
-	a.plans.add(9, roundRobin(a.shape, size))
+	a.plans.add(9, roundRobin(a.shape, size), 0)
 	l := &leader{agent: a}
 	l.startLeading(size, 0)
 	for rank := range size {
@@ -198,3 +198,40 @@
 	require.Zero(t, report(1, 0), "nothing is measured yet in a new epoch")
 	require.Equal(t, 100*time.Millisecond, report(4, 1))
 }
+
+// TestMapInUseIsKept guards against a group that stays held because its leader's fence has no map to
+// send: newer maps that were never used have taken the place of the one in use.
+func TestMapInUseIsKept(t *testing.T) {
+	var plans planCache
+	inUse := [][][]int{{{0}, {1}}}
+	plans.add(7, inUse, 0)
+	for version := uint64(8); version < 20; version++ {
+		plans.add(version, [][][]int{{{1}, {0}}}, 7)
+	}
+	require.Equal(t, inUse, plans.find(7))
+	require.NotNil(t, plans.find(19))
+	require.Len(t, plans.versions, maxPlans)
+	require.Len(t, plans.maps, maxPlans)
+}
+
+// TestPolledRankKeepsItsExperts guards against a fence without a map: a rank that its leader polls in
+// place of a silent agent reports no experts, though it still uses the map that it had.
+func TestPolledRankKeepsItsExperts(t *testing.T) {
+	l := newLargeLeader(t, true)
+	shape, now := l.agent.shape, time.Unix(1000, 0)
+	experts := make([][]int, shape.sets)
+	for set := range experts {
+		experts[set] = []int{2 * set, 2*set + 1}
+	}
+	report := func(epoch, version uint64, lists []uint32) *wirepb.RankReport {
+		return &wirepb.RankReport{Group: "g", Epoch: epoch, Rank: 5, Size: 129, Open: true, ExpertMap: version, Experts: lists}
+	}
+	l.applyReport(l.addresses[5], report(1, 9, encodeExperts(experts)), shape, now)
+	l.applyReport(l.addresses[5], report(1, 9, nil), shape, now)
+	require.Equal(t, experts, l.experts[5])
+	l.applyReport(l.addresses[5], report(1, 10, nil), shape, now)
+	require.Nil(t, l.experts[5], "the map has changed")
+	l.applyReport(l.addresses[5], report(1, 10, encodeExperts(experts)), shape, now)
+	l.applyReport(l.addresses[5], report(2, 10, nil), shape, now)
+	require.Nil(t, l.experts[5], "the group has formed again")
+}
