--- a/pkg/group/model_test.go
+++ b/pkg/group/model_test.go
@@ -103,6 +103,8 @@
 
 func newSimulation(t *rapid.T, size int, mutant string) *simulation {
 	s := &simulation{t: t, mutant: mutant, lossTenths: rapid.IntRange(0, 9).Draw(t, "loss"), ranks: make([]rank, size), suspendedUntil: make([]int, size), downUntil: make([]int, size), epoch: 1}
+	// Versions tell passes apart by their remainder.
+	s.pass = uint64(rapid.IntRange(0, 3000).Draw(t, "first pass"))
 	s.leaders = []*simLeader{s.newLeader(0)}
 	return s
 }
