--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -171,8 +171,7 @@
 	for ctx.Err() == nil {
 		limit := evidenceLimit(len(s.entry.view.Load().Members()))
 		wait := s.evidence.AskIn(time.Now(), limit, askRetry)
-		if s.revision() == 0 {
-			// The first read isn't done.
+		if s.isCalling() {
 			wait = helloPeriod
 		}
 		if wait > 0 {
@@ -183,6 +182,15 @@
 	}
 }
 
+// isCalling reports whether run reads the store, or retries to. A watch that waits may be one that
+// gets no answer.
+func (s *storeSyncer) isCalling() bool {
+	watches := s.shouldWatch()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Revision() == 0 || watches && s.cancelWatch == nil
+}
+
 // ask asks the store for changes without waiting for any, and tells the other entries that the
 // view is current.
 func (s *storeSyncer) ask(ctx context.Context) {
