internal/edge: the code on evidence stands in a file of its own

No change of behaviour: what follow.go and peers.go had on evidence is in evidence.go, and the answer to a call for changes is one value in place of six arguments.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -40,13 +39,6 @@
 	// larger one, relayWatchers entries watch it and relay changes to the others.
 	maxAllWatching = 8
 	relayWatchers  = 6
-	// askSpread is the span in which entries whose evidence has become too old ask the
-	// store. The first one that is answered tells the others, so that a few of a hundred ask.
-	askSpread = 300 * time.Millisecond
-	// askWait is how long the store may wait for changes before it answers such a call.
-	askWait = time.Millisecond
-	// askRetry is the time from one such call without an answer to the next.
-	askRetry = 700 * time.Millisecond
 	// retryDelay is the delay after a failed call.
 	retryDelay = 300 * time.Millisecond
 	// gapThreshold is the time without a successful call after which leases may have
@@ -157,89 +149,6 @@
 	return members <= maxAllWatching || position < relayWatchers
 }
 
-// evidenceLimit returns the age of evidence in a fleet of a size from which an entry asks the
-// store itself. Younger evidence comes without that: the first watch that ends gives it, and
-// hellos pass it on to all entries in some rounds. With askSpread and the time of a call, a
-// change reaches an entry in time whoever of the others has lost contact to the store.
-func evidenceLimit(members int) time.Duration {
-	rounds := 1 + math.Ceil(math.Log(float64(max(1, members)))/math.Log(1+helloFanout))
-	return minWatchTimeout + coalesceDelay + time.Duration(rounds)*helloPeriod
-}
-
-// verify asks the store whenever there is no evidence that is recent enough, until ctx ends.
-func (s *storeSyncer) verify(ctx context.Context) {
-	for ctx.Err() == nil {
-		limit := evidenceLimit(len(s.entry.view.Load().Members()))
-		wait := s.evidence.AskIn(time.Now(), limit, askRetry)
-		if s.isCalling() {
-			wait = helloPeriod
-		}
-		if wait > 0 {
-			sleep(ctx, min(wait, limit))
-			continue
-		}
-		s.ask(ctx)
-	}
-}
-
-// isCalling reports whether run reads the store, or retries to. A watch that waits may be one that
-// gets no answer.
-func (s *storeSyncer) isCalling() bool {
-	watches := s.shouldWatch()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state.Revision() == 0 || watches && s.cancelWatch == nil
-}
-
-// ask asks the store for changes without waiting for any, and tells the other entries that the
-// view is current.
-func (s *storeSyncer) ask(ctx context.Context) {
-	sentAt := time.Now()
-	after, age := s.revision(), s.evidence.Latest().Age(sentAt)
-	changes, revision, err := s.entry.store.Changes(ctx, allKeys, after, askWait)
-	result := "current"
-	switch {
-	case ctx.Err() != nil:
-		return
-	case eris.Is(err, platform.ErrHistoryCompacted):
-		result, err = "read_all", s.readAll(ctx)
-	case err == nil && revision < after:
-		result = "older"
-		event.VersionWentBack.Log(s.entry.logger, zap.Uint64("known_term", after), zap.Uint64("shown_term", revision))
-	case err == nil:
-		if len(changes) > 0 {
-			result = "changed"
-		}
-		s.mu.Lock()
-		s.applyAnswer(changes, revision, sentAt, "ask")
-		s.mu.Unlock()
-	}
-	if err != nil {
-		result = "failed"
-	} else {
-		event.StoreAsked.Log(s.entry.logger, zap.Int64("age_ms", age.Milliseconds()), zap.Uint64("revision", revision), zap.String("result", result))
-	}
-	s.asks.Add(1, result)
-	s.evidence.Asked(time.Now(), err == nil && result != "older")
-	s.setReachable(ctx, err)
-	if result == "current" || result == "changed" {
-		s.entry.peers.broadcast()
-	}
-}
-
-// applyAnswer applies the answer to a call for changes, which shows that the store's newest
-// revision was the given one at a moment. The caller holds s.mu.
-func (s *storeSyncer) applyAnswer(changes []store.Change, revision uint64, at time.Time, source string) {
-	now := time.Now()
-	graceUntil := s.graceUntil(now)
-	if len(changes) > 0 {
-		s.state.Apply(changes, revision, now, graceUntil)
-		s.publish(source)
-	}
-	s.lastContact, s.disconnected = now, false
-	s.confirm(revision, fresh.Seen(at))
-}
-
 // watchTimeout returns how long this entry's watch waits for changes.
 func (s *storeSyncer) watchTimeout() time.Duration {
 	position, members := s.hashOrder()
@@ -300,7 +209,12 @@
 	if len(changes) > 0 {
 		defer sleep(ctx, coalesceDelay)
 	}
-	if err := s.endWatch(after, changes, revision, sentAt, wait, err); err != nil {
+	answer := storeAnswer{source: "watch", after: after, changes: changes, revision: revision, at: sentAt}
+	if len(changes) == 0 && time.Since(sentAt) >= wait {
+		// The store has waited for so long before it answered.
+		answer.at = sentAt.Add(wait)
+	}
+	if err := s.endWatch(answer, err); err != nil {
 		return err
 	}
 	if err == nil && len(changes) > 0 {
@@ -309,30 +223,24 @@
 	return nil
 }
 
-// endWatch applies the answer to a watch that was sent at a moment to wait for changes after
-// the view's revision, or returns its error unless the watch was cancelled.
-func (s *storeSyncer) endWatch(after uint64, changes []store.Change, revision uint64, sentAt time.Time, wait time.Duration, err error) error {
+// endWatch applies the answer to a watch, or returns the watch's error unless it was cancelled.
+func (s *storeSyncer) endWatch(answer storeAnswer, err error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	wasCancelled := s.cancelWatch == nil
 	s.cancelWatch = nil
-	if err != nil {
-		if wasCancelled {
-			return nil
-		}
+	switch {
+	case err != nil && wasCancelled:
+		return nil
+	case err != nil:
 		return err
-	}
-	if revision < after {
-		event.VersionWentBack.Log(s.entry.logger, zap.Uint64("known_term", after), zap.Uint64("shown_term", revision))
+	case answer.isOlder():
+		event.VersionWentBack.Log(s.entry.logger, zap.Uint64("known_term", answer.after), zap.Uint64("shown_term", answer.revision))
 		return eris.New("the store answered a watch with an older revision")
+	default:
+		s.applyAnswer(answer)
+		return nil
 	}
-	at := sentAt
-	if len(changes) == 0 && time.Since(sentAt) >= wait {
-		// The store has waited for so long before it answered.
-		at = sentAt.Add(wait)
-	}
-	s.applyAnswer(changes, revision, at, "watch")
-	return nil
 }
 
 // applyUpdate applies what a peer has read from the store, if it is newer than the view.
@@ -359,41 +267,6 @@
 	}
 }
 
-// confirm records evidence that the store's newest revision was the given one. The caller
-// holds s.mu.
-func (s *storeSyncer) confirm(revision uint64, evidence fresh.Evidence) {
-	if !s.evidence.Confirm(revision, evidence) {
-		return
-	}
-	s.state.Confirm(evidence.At())
-	s.entry.view.Store(s.state.View())
-}
-
-// receiveEvidence records evidence that another entry has passed on.
-func (s *storeSyncer) receiveEvidence(revision uint64, evidence fresh.Evidence) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.confirm(revision, evidence)
-	s.noteEvidence()
-}
-
-// noteEvidence ends the time without contact to the store if there is evidence of a later
-// moment. The caller holds s.mu.
-func (s *storeSyncer) noteEvidence() {
-	if at := s.evidence.Latest().At(); at.After(s.lastContact) {
-		s.graceUntil(time.Now())
-		s.lastContact, s.disconnected = at, false
-	}
-}
-
-// isWatching reports whether a watch is running here and there is recent evidence.
-func (s *storeSyncer) isWatching() bool {
-	s.mu.Lock()
-	watching := s.reachable && s.cancelWatch != nil
-	s.mu.Unlock()
-	return watching && s.evidence.Latest().Age(time.Now()) < evidenceLimit(len(s.entry.view.Load().Members()))
-}
-
 // publish makes the latest view the entry's. Source is the logged origin of the change: a
 // peer's name, "store", "watch" or "grace". The caller holds s.mu.
 func (s *storeSyncer) publish(source string) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -16,7 +16,6 @@
 	"github.com/lentilstand/lentilstand/internal/link"
 	"github.com/lentilstand/lentilstand/internal/parts"
 	"github.com/lentilstand/lentilstand/internal/wirepb"
-	"github.com/lentilstand/lentilstand/pkg/fresh"
 	"github.com/lentilstand/lentilstand/pkg/sched"
 	"github.com/lentilstand/lentilstand/pkg/store"
 	"github.com/lentilstand/lentilstand/pkg/table"
@@ -316,28 +315,6 @@
 	return limits
 }
 
-// maxEvidenceAge limits the age of evidence that hellos pass on.
-const maxEvidenceAge = time.Hour
-
-// writeEvidence writes evidence to a hello. Its age is rounded up.
-func writeEvidence(hello *wirepb.Hello, evidence fresh.Evidence, now time.Time) {
-	age := evidence.Age(now)
-	if !evidence.CanRelay() || age > maxEvidenceAge {
-		return
-	}
-	milliseconds := uint32((age + time.Millisecond - 1).Milliseconds())
-	hello.StoreAgeMs, hello.RelayAgeMs, hello.StoreHops = &milliseconds, &milliseconds, uint32(evidence.Hops())
-}
-
-// readEvidence returns the evidence in a hello, and whether there is any.
-func readEvidence(hello *wirepb.Hello, now time.Time) (fresh.Evidence, bool) {
-	if hello.StoreAgeMs == nil || hello.GetStoreHops() > fresh.MaxHops {
-		return fresh.Evidence{}, false
-	}
-	age := time.Duration(hello.GetStoreAgeMs()) * time.Millisecond
-	return fresh.Relayed(now.Add(-age), int(hello.GetStoreHops())), true
-}
-
 func (p *peers) send(member table.Member, message *wirepb.Datagram) {
 	if address, err := netip.ParseAddrPort(member.PeerAddress()); err == nil && member.Name() != p.entry.settings.Load().Name() {
 		p.entry.socket.Send(message, address)
