internal/conns, internal/strict: the end of a connection is no end of an answer while the request is written

Cause: a body without length ends with its connection. The kernel reports a reset once, to whichever call asks first. The goroutine that writes the upload got it, and the read after it returned 0 bytes, which Go reports as io.EOF. internal/conns took that for the end of the body and never asked for the result of the write. The agent's net/http client did the same.

Ruled out: answers with a length or chunks, which carry their own end; bodies up to 16 KB in internal/conns, written before the answer is read; JSON answers (store, ranks, host list, load), of which no part parses.

Change: a read that finds the end of a body without length waits for the write and returns an error if that failed. The write that has taken the error of the connection began before that read returned, so its result is known after the wait. The end of the request's context closes the connection, which ends the wait. internal/strict does the same for net/http: its connections know the result of each write, and a trace tells when the request has been written; the agent's client uses it.

A refusal's body doesn't wait for the upload.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,6 +24,7 @@
 	"github.com/lentilstand/lentilstand/internal/memory"
 	"github.com/lentilstand/lentilstand/internal/meter"
 	"github.com/lentilstand/lentilstand/internal/prefs"
+	"github.com/lentilstand/lentilstand/internal/strict"
 	"github.com/lentilstand/lentilstand/internal/webio"
 	"github.com/lentilstand/lentilstand/pkg/admit"
 	"github.com/lentilstand/lentilstand/pkg/config"
@@ -95,7 +96,8 @@
 const endpointHeadBytes = 32 << 10
 
 // newEndpointClient returns an HTTP client with small receive buffers, so that
-// backpressure from a slow reader reaches the endpoint quickly.
+// backpressure from a slow reader reaches the endpoint quickly. It refuses responses that
+// may be incomplete.
 func newEndpointClient() *http.Client {
 	dialer := &net.Dialer{Timeout: endpointDialTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -107,14 +109,14 @@
 		return conn, nil
 	}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: strict.NewTransport(&http.Transport{
 			DialContext:         dial,
 			MaxIdleConnsPerHost: endpointIdleConns,
 			DisableCompression:  true,
 			ReadBufferSize:      4 << 10,
 
 			MaxResponseHeaderBytes: endpointHeadBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -25,6 +25,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/memory"
+	"github.com/lentilstand/lentilstand/internal/strict"
 )
 
 // Limits and timeouts of connections.
@@ -394,9 +395,11 @@
 	complete bool
 	// reusable reports whether the endpoint keeps the connection open.
 	reusable bool
-	// bodyWritten receives the result of writing the request's body in the background,
-	// nil if it isn't written in the background.
-	bodyWritten chan error
+	// endsWithConnection reports whether only the end of the connection ends the body.
+	endsWithConnection bool
+	// upload is the writing of the request's body in the background, nil if it isn't written
+	// in the background.
+	upload *strict.Upload
 	// borrowed is the memory that the response's event reader has of the account.
 	borrowed int64
 }
@@ -456,7 +459,7 @@
 			return nil, eris.Wrap(err, "can't read a response")
 		}
 		r.Status, r.Header, r.Length = head.status, head.header, head.length
-		r.body, r.reusable = head.body, head.reusable
+		r.body, r.reusable, r.endsWithConnection = head.body, head.reusable, head.endsWithConnection
 		if matches(r.Status, r.Header) {
 			c.readingHead = false
 			return r, nil
@@ -491,10 +494,10 @@
 		if n, err := io.WriteString(r.conn, head.String()); err != nil {
 			return r.writeError(n, err)
 		}
-		r.bodyWritten = make(chan error, 1)
+		r.upload = strict.NewUpload()
 		go func() {
 			_, err := r.conn.Write(request.Body)
-			r.bodyWritten <- err
+			r.upload.Finish(err)
 		}()
 		return nil
 	}
@@ -522,6 +525,8 @@
 	body   io.ReadCloser
 	// reusable reports whether the connection stays open after the response.
 	reusable bool
+	// endsWithConnection reports whether the body has neither a length nor chunks.
+	endsWithConnection bool
 }
 
 // readHead reads the head of the next response that isn't informational (1xx).
@@ -537,17 +542,27 @@
 		}
 		return responseHead{
 			status: response.StatusCode, header: response.Header, length: response.ContentLength, body: response.Body,
-			reusable: !response.Close && response.ProtoAtLeast(1, 1),
+			reusable:           !response.Close && response.ProtoAtLeast(1, 1),
+			endsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody,
 		}, nil
 	}
 }
 
-// Read reads the body. It returns io.EOF only if the body is complete.
+// Read reads the body. It returns io.EOF only if the body is complete. A body that ends with
+// the connection is complete once the request has been written without an error, since the
+// write may have taken the error with which the connection has ended.
 func (r *Response) Read(buffer []byte) (int, error) {
 	n, err := r.body.Read(buffer)
-	if errors.Is(err, io.EOF) {
-		r.complete = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if r.endsWithConnection && r.upload != nil {
+		// The end of Send's context closes the connection, which ends the upload.
+		if cause := r.upload.Wait(); cause != nil {
+			return n, eris.Wrap(strict.ErrTruncated, cause.Error())
+		}
+	}
+	r.complete = true
 	return n, err
 }
 
@@ -562,7 +577,7 @@
 		_ = r.conn.Close()
 		return
 	}
-	if r.bodyWritten == nil {
+	if r.upload == nil {
 		r.returnToPool()
 		return
 	}
@@ -571,7 +586,7 @@
 		return
 	}
 	go func() {
-		if err := <-r.bodyWritten; err != nil {
+		if r.upload.Wait() != nil {
 			_ = r.conn.Close()
 			return
 		}
@@ -606,7 +621,12 @@
 // connection can be reused.
 func (r *Response) Discard() {
 	if err := r.conn.SetReadDeadline(time.Now().Add(discardTimeout)); err == nil {
-		_, _ = io.Copy(io.Discard, io.LimitReader(r, discardBytes))
+		var body io.Reader = r
+		if r.endsWithConnection {
+			// Read would wait for the upload, although the connection isn't reused.
+			body = r.body
+		}
+		_, _ = io.Copy(io.Discard, io.LimitReader(body, discardBytes))
 		if err := r.conn.SetReadDeadline(time.Time{}); err != nil {
 			r.complete = false
 		}
--- /dev/null
+++ b/internal/strict/transport.go
@@ -0,0 +1,67 @@
+package strict
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// Transport is an HTTP/1.1 round tripper whose responses' bodies end with ErrTruncated
+// instead of io.EOF if they may be incomplete. Create it with NewTransport.
+type Transport struct {
+	base *http.Transport
+}
+
+// NewTransport returns a transport that sends its requests by base, which must not be used
+// by others. It doesn't support TLS.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		inner, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(inner), nil
+	}
+	return &Transport{base: base}
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var e exchange
+	return t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), e.trace())))
+}
+
+// exchange is a request on its connection. If net/http sends the request again, it has
+// several connections one after another.
+type exchange struct {
+	mu     sync.Mutex
+	conn   *conn
+	upload *Upload
+}
+
+// trace returns the hooks by which net/http reports what it does for the request.
+func (e *exchange) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: e.gotConn, WroteRequest: e.wroteRequest}
+}
+
+func (e *exchange) gotConn(info httptrace.GotConnInfo) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.conn, e.upload = info.Conn.(*conn), NewUpload()
+	e.conn.begin(e.upload)
+}
+
+func (e *exchange) wroteRequest(info httptrace.WroteRequestInfo) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.upload.Finish(info.Err)
+}
