internal/conns, internal/strict: an answer without a valid status is refused

Cause: http.ReadResponse takes any three characters that parse as a number for the status. internal/conns skipped each status below 200 as informational and read the next bytes as the answer to the request. The agent's net/http client returned such a head, and the entry wrote it on. An order to a rank counted as rejected, which says that it had no effect.

The store's client was right already.

Change: strict.CheckHead refuses a status below 100, and 101, for which no request asks, where a head enters the product: in internal/conns, also for the heads that it skips, and in strict.Transport, which the clients of agents, platform/, the host list and internal/probe use. The connection is closed. The request may have run: an error of Send other than ErrNotSent, ErrUncertain of the store, ErrNoResponse of a rank. That works since nothing after the check sees such a head, so that neither a claim that the request wasn't run nor the bytes behind it count. Statuses above 599 are valid by syntax and stay server errors.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -33,6 +33,8 @@
 	DataCentre string
 	Engine     stand.EngineSpec
 	Plain      stand.PlainSpec
+	// Wrap returns the handler that takes the place of the stand-in, nil to keep that.
+	Wrap func(standIn http.Handler) http.Handler
 	// Warm makes the agent treat its endpoint as warm from the start.
 	Warm bool
 }
@@ -177,6 +179,9 @@
 			b.plains[replica.Name] = plain
 			handler = plain
 		}
+		if replica.Wrap != nil {
+			handler = replica.Wrap(handler)
+		}
 		address, err := b.listen(handler)
 		if err != nil {
 			return err
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -529,13 +529,17 @@
 	endsWithConnection bool
 }
 
-// readHead reads the head of the next response that isn't informational (1xx).
+// readHead reads the head of the next response that isn't informational (1xx). It returns
+// strict.ErrMalformedHead if that head or an informational one before it is malformed.
 func readHead(reader *bufio.Reader, method string) (responseHead, error) {
 	for {
 		response, err := http.ReadResponse(reader, &http.Request{Method: method})
 		if err != nil {
 			return responseHead{}, err
 		}
+		if err := strict.CheckHead(response.StatusCode); err != nil {
+			return responseHead{}, err
+		}
 		if response.StatusCode < http.StatusOK {
 			response.Body.Close()
 			continue
--- a/internal/entry/hosts.go
+++ b/internal/entry/hosts.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/lentilstand/lentilstand/internal/strict"
 )
 
 // Parameters for polling the host list.
@@ -34,7 +36,7 @@
 // empty, no host counts as leaving.
 func newHostWatcher(address string) *hostWatcher {
 	return &hostWatcher{address: address, client: &http.Client{
-		Timeout: hostTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxHostHeadBytes},
+		Timeout: hostTimeout, Transport: strict.NewTransport(&http.Transport{MaxResponseHeaderBytes: maxHostHeadBytes}),
 	}}
 }
 
--- a/internal/probe/cycle.go
+++ b/internal/probe/cycle.go
@@ -160,7 +160,7 @@
 
 // warmUp warms up each engine with sequential requests, all engines concurrently.
 func warmUp(ctx context.Context, b *bench.Bench) error {
-	client := &http.Client{}
+	client := newClient(http.DefaultMaxIdleConnsPerHost)
 	defer client.CloseIdleConnections()
 	var wait sync.WaitGroup
 	var failure atomic.Value
@@ -186,7 +186,7 @@
 // warmAgents sends requests through the entries until every agent's slow start has
 // reached the full capacity.
 func warmAgents(ctx context.Context, b *bench.Bench) error {
-	client := &http.Client{}
+	client := newClient(http.DefaultMaxIdleConnsPerHost)
 	defer client.CloseIdleConnections()
 	for !allWarm(b) {
 		var wait sync.WaitGroup
@@ -273,7 +273,7 @@
 
 // sendRequests sends requests as a Poisson process at the plan's rate.
 func (c *cycleResult) sendRequests(ctx context.Context, plan cyclePlan, target targetSelector, random *rand.Rand, wait *sync.WaitGroup) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	client := newClient(256)
 	end := time.Now().Add(plan.length)
 	next := time.Now()
 	for n := 0; next.Before(end); n++ {
--- a/internal/probe/path.go
+++ b/internal/probe/path.go
@@ -16,6 +16,7 @@
 	"github.com/lentilstand/lentilstand/internal/bench"
 	"github.com/lentilstand/lentilstand/internal/plots"
 	"github.com/lentilstand/lentilstand/internal/stand"
+	"github.com/lentilstand/lentilstand/internal/strict"
 	"github.com/lentilstand/lentilstand/pkg/config"
 )
 
@@ -58,6 +59,12 @@
 	l.failed++
 }
 
+// newClient returns an HTTP client that keeps up to a number of idle connections to each
+// address.
+func newClient(idleConns int) *http.Client {
+	return &http.Client{Transport: strict.NewTransport(&http.Transport{MaxIdleConnsPerHost: idleConns})}
+}
+
 // streamChat sends a streaming chat request and returns the time to the first token
 // and the gaps between tokens.
 func streamChat(ctx context.Context, client *http.Client, address, key, content string, tokens int) (time.Duration, []time.Duration, error) {
@@ -120,7 +127,7 @@
 // and the duration.
 func closedLoop(ctx context.Context, address, key, label string, workers, requests int) (*latencies, float64, time.Duration) {
 	l := newLatencies()
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
+	client := newClient(workers)
 	defer client.CloseIdleConnections()
 	var wait sync.WaitGroup
 	began, cpu := time.Now(), cpuSeconds()
--- a/internal/strict/doc.go
+++ b/internal/strict/doc.go
@@ -1,10 +1,15 @@
-// Package strict makes net/http refuse responses that it would pass on although they may be
-// incomplete.
+// Package strict makes net/http refuse responses that it would pass on although they are
+// malformed or may be incomplete.
+//
+// net/http takes any number as the status of a response. [CheckHead] refuses heads that no
+// client may act on.
 //
 // A body without length ends with its connection. The end of the stream alone doesn't
 // prove that the peer has closed the connection in order: the kernel reports the reset of
 // a connection once, to whichever call asks first. If this is the call that writes the
 // request, a concurrent read reports the end of the stream. The connections of
 // [Transport] therefore report the end only once the request has been written without an
-// error. The error tells nothing about whether the request has been executed.
+// error.
+//
+// Either error tells nothing about whether the request has been executed.
 package strict
--- a/internal/strict/transport.go
+++ b/internal/strict/transport.go
@@ -8,8 +8,9 @@
 	"sync"
 )
 
-// Transport is an HTTP/1.1 round tripper whose responses' bodies end with ErrTruncated
-// instead of io.EOF if they may be incomplete. Create it with NewTransport.
+// Transport is an HTTP/1.1 round tripper that returns ErrMalformedHead for malformed heads
+// and whose responses' bodies end with ErrTruncated instead of io.EOF if they may be
+// incomplete. Create it with NewTransport.
 type Transport struct {
 	base *http.Transport
 }
@@ -37,7 +38,16 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var e exchange
-	return t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), e.trace())))
+	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), e.trace())))
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+		e.closeConn()
+		return nil, err
+	}
+	return response, nil
 }
 
 // exchange is a request on its connection. If net/http sends the request again, it has
@@ -65,3 +75,10 @@
 	defer e.mu.Unlock()
 	e.upload.Finish(info.Err)
 }
+
+// closeConn closes the connection, which net/http may have kept for the next request.
+func (e *exchange) closeConn() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = e.conn.Close()
+}
