internal/strict: a field name with a space makes an answer unusable

Cause: net/textproto, by which http.ReadResponse and net/http's client read heads, accepts spaces in a field name on purpose and keeps the name as it is. "Content-Length : 5" and "Transfer-Encoding : chunked" then don't delimit the body, so that the bytes up to the end of the connection became the body; other fields were written on to the caller.

TestMalformedFieldNameReachesNoCaller: 6 cases through a whole edge entry and 4 through entry and agent give 200 instead of 502, one of them a stream, one that claims that the request was not run. FuzzResponses fails on its new seed.

Control bytes, a tab, a carriage return and bytes from 0x7f in a name were refused already, on each path: the tests stay, nothing changes for them.

Change: strict.CheckHead also refuses names that aren't tokens (x/net/http/httpguts), where a head enters the product, informational ones included. That works since both clients keep such names in the header that the check sees. The connection is closed, and the request may have run.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -537,7 +537,7 @@
 		if err != nil {
 			return responseHead{}, err
 		}
-		if err := strict.CheckHead(response.StatusCode); err != nil {
+		if err := strict.CheckHead(response.StatusCode, response.Header); err != nil {
 			return responseHead{}, err
 		}
 		if response.StatusCode < http.StatusOK {
--- a/internal/conns/fuzz_test.go
+++ b/internal/conns/fuzz_test.go
@@ -32,6 +32,7 @@
 		"HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", 2000) + "\r\n",
 		"HTTP/1.1 200 OK\r\n\r\ndata: " + strings.Repeat("x", 100_000),
 		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n", "\x00", "",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
 		"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	} {
 		f.Add([]byte(seed))
@@ -42,6 +43,9 @@
 			return
 		}
 		require.GreaterOrEqual(t, head.status, http.StatusOK)
+		for name := range head.header {
+			require.NotContains(t, name, " ")
+		}
 		stream := &countedStream{Reader: head.body}
 		events := NewEventReader(stream)
 		size := 0
--- a/internal/edge/heads_test.go
+++ b/internal/edge/heads_test.go
@@ -61,3 +61,28 @@
 		}
 	}
 }
+
+// TestMalformedFieldNameReachesNoCaller has an endpoint send a field whose name has a space or
+// a control byte, which may be one that would have delimited the body.
+func TestMalformedFieldNameReachesNoCaller(t *testing.T) {
+	const chunks = "5\r\nwhole\r\n0\r\n\r\n"
+	const event = "id: 1\ndata: token 1\n\n"
+	testCases := []struct{ name, lines, body string }{
+		{name: "space before the colon", lines: "Foo : a\r\nContent-Length: 5", body: "whole"},
+		{name: "space inside", lines: "Fo o: a\r\nContent-Length: 5", body: "whole"},
+		{name: "length", lines: "Content-Length : 5", body: "whole and what follows"},
+		{name: "chunks", lines: "Transfer-Encoding : chunked", body: chunks},
+		{name: "stream", lines: "Foo : a\r\nContent-Type: text/event-stream", body: event},
+		{name: "refusal", lines: "Lentilstand-Not-Executed: 1\r\nFoo : a\r\nContent-Length: 0"},
+		{name: "null byte", lines: "Fo\x00o: a\r\nContent-Length: 5", body: "whole"},
+		{name: "control byte", lines: "Fo\x01o: a\r\nContent-Length: 5", body: "whole"},
+		{name: "delete", lines: "Foo\x7f: a\r\nContent-Length: 5", body: "whole"},
+		{name: "tab", lines: "Foo\t: a\r\nContent-Length: 5", body: "whole"},
+		{name: "carriage return", lines: "Fo\ro: a\r\nContent-Length: 5", body: "whole"},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.name, func(t *testing.T) {
+			requireBadGateway(t, func(fields string) string { return "HTTP/1.1 200 OK\r\n" + fields + tc.lines + "\r\n\r\n" + tc.body })
+		})
+	}
+}
--- a/internal/entry/heads_test.go
+++ b/internal/entry/heads_test.go
@@ -52,3 +52,18 @@
 		t.Run(status, func(t *testing.T) { requireUnknownOutcome(t, "HTTP/1.1 "+status+"\r\nContent-Length: 4\r\n\r\nbody") })
 	}
 }
+
+// TestMalformedFieldNameReachesNoCaller has an endpoint send a field whose name has a space or
+// a control byte, which may be one that would have delimited the body.
+func TestMalformedFieldNameReachesNoCaller(t *testing.T) {
+	testCases := map[string]string{
+		"space":        "Foo : a\r\nContent-Length: 5\r\n\r\nwhole",
+		"length":       "Content-Length : 5\r\n\r\nwhole and what follows",
+		"chunks":       "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"stream":       "Foo : a\r\nContent-Type: text/event-stream\r\n\r\ndata: token 1\n\n",
+		"control byte": "Fo\x01o: a\r\nContent-Length: 5\r\n\r\nwhole",
+	}
+	for name, rest := range testCases {
+		t.Run(name, func(t *testing.T) { requireUnknownOutcome(t, "HTTP/1.1 200 OK\r\n"+rest) })
+	}
+}
--- a/internal/entry/hosts_test.go
+++ b/internal/entry/hosts_test.go
@@ -31,7 +31,7 @@
 	leaving, err := fetchRaw(t, "HTTP/1.1 200 OK\r\n\r\n"+list)
 	require.NoError(t, err)
 	require.Equal(t, map[string]bool{"host-1": true}, leaving)
-	for _, head := range []string{"HTTP/1.1 000 X\r\n"} {
+	for _, head := range []string{"HTTP/1.1 000 X\r\n", "HTTP/1.1 200 OK\r\nFoo : a\r\n"} {
 		_, err := fetchRaw(t, head+"\r\n"+list)
 		require.Error(t, err, head)
 	}
--- a/internal/strict/doc.go
+++ b/internal/strict/doc.go
@@ -1,8 +1,9 @@
 // Package strict makes net/http refuse responses that it would pass on although they are
 // malformed or may be incomplete.
 //
-// net/http takes any number as the status of a response. [CheckHead] refuses heads that no
-// client may act on.
+// net/http takes any number as the status of a response, and field names that contain
+// spaces. A field such as "Content-Length : 5" then doesn't delimit the body, and a proxy
+// would forward it as it is. [CheckHead] refuses heads that no client may act on.
 //
 // A body without length ends with its connection. The end of the stream alone doesn't
 // prove that the peer has closed the connection in order: the kernel reports the reset of
--- a/internal/strict/head_test.go
+++ b/internal/strict/head_test.go
@@ -55,3 +55,13 @@
 		})
 	}
 }
+
+func TestFieldNameWithSpaceIsRefused(t *testing.T) {
+	for _, line := range []string{"Foo : a", "Fo o: a", "Content-Length : 5", "Transfer-Encoding : chunked"} {
+		t.Run(line, func(t *testing.T) {
+			requireRefused(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+			requireRefused(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+line+"\r\n\r\n")
+			requireRefused(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n"+wholeResponse)
+		})
+	}
+}
--- a/internal/strict/transport.go
+++ b/internal/strict/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 )
 
@@ -42,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(response.StatusCode); err != nil {
+	if err := CheckHead(response.StatusCode, response.Header); err != nil {
 		_ = response.Body.Close()
 		e.closeConn()
 		return nil, err
@@ -60,7 +61,13 @@
 
 // trace returns the hooks by which net/http reports what it does for the request.
 func (e *exchange) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: e.gotConn, WroteRequest: e.wroteRequest}
+	return &httptrace.ClientTrace{
+		GotConn:      e.gotConn,
+		WroteRequest: e.wroteRequest,
+		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
+			return CheckHead(status, http.Header(header))
+		},
+	}
 }
 
 func (e *exchange) gotConn(info httptrace.GotConnInfo) {
