--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -97,7 +97,7 @@
 
 // newEndpointClient returns an HTTP client with small receive buffers, so that
 // backpressure from a slow reader reaches the endpoint quickly. It refuses responses that
-// may be incomplete.
+// are malformed or may be incomplete.
 func newEndpointClient() *http.Client {
 	dialer := &net.Dialer{Timeout: endpointDialTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -33,7 +33,7 @@
 	DataCentre string
 	Engine     stand.EngineSpec
 	Plain      stand.PlainSpec
-	// Wrap returns the handler that takes the place of the stand-in, nil to keep that.
+	// Wrap, unless it is nil, returns the handler that takes the place of the stand-in.
 	Wrap func(standIn http.Handler) http.Handler
 	// Warm makes the agent treat its endpoint as warm from the start.
 	Warm bool
--- a/internal/edge/truncated_test.go
+++ b/internal/edge/truncated_test.go
@@ -30,7 +30,7 @@
 		status, request.Header.Get("Lentilstand-Request-Id"), body)
 }
 
-// longUpload is more than the buffers of a connection take before its peer reads.
+// longUpload takes longer to write than an endpoint to respond.
 var longUpload = strings.Repeat("u", 4<<20)
 
 // TestPartOfAnAnswerIsNotPassedOnAsWhole has an endpoint respond to a long upload at once,
--- a/internal/strict/transport.go
+++ b/internal/strict/transport.go
@@ -21,7 +21,7 @@
 }
 
 // NewTransport returns a transport that sends its requests by base, which must not be used
-// by others. It doesn't support TLS, to which a redirection may lead.
+// by others. Requests to https addresses, to which a redirection may lead, fail.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
