internal/strict: a reset after the whole exchange changes nothing

The check of delivery refused an answer without length also where the endpoint had read the whole upload and ended its answer, and reset the connection then. The bytes that the kernel still counts as not acknowledged tell the cases apart: a reset ends the wait only if there are some.

--- a/internal/conns/truncated_test.go
+++ b/internal/conns/truncated_test.go
@@ -152,6 +152,31 @@
 	}
 }
 
+// TestResetAfterAWholeExchangeChangesNothing has an endpoint read the upload, end its response
+// and then reset the connection, before the response is read.
+func TestResetAfterAWholeExchangeChangesNothing(t *testing.T) {
+	reset := make(chan struct{})
+	address := serveRaw(t, func(conn *net.TCPConn, _ *http.Request, upload io.Reader) {
+		_, _ = io.Copy(io.Discard, upload)
+		_, _ = io.WriteString(conn, responseWithoutLength)
+		_ = conn.CloseWrite()
+		stand.Reset(conn)
+		_ = conn.Close()
+		close(reset)
+	})
+	var pool conns.Pool
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	response, err := upload(ctx, &pool, address, 1<<20)
+	require.NoError(t, err)
+	defer response.Close()
+	<-reset
+	time.Sleep(20 * time.Millisecond)
+	body, err := io.ReadAll(response)
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\ndata: a part\n\n", string(body))
+}
+
 // TestDiscardDoesNotWaitForTheUpload has an endpoint refuse a request and read nothing more.
 func TestDiscardDoesNotWaitForTheUpload(t *testing.T) {
 	left := make(chan struct{})
--- a/internal/strict/delivery.go
+++ b/internal/strict/delivery.go
@@ -33,6 +33,7 @@
 }
 
 // isDelivered reports whether the peer has acknowledged all bytes, or the kernel can't tell.
+// The kernel counts the bytes that haven't been acknowledged also after a reset.
 func isDelivered(raw syscall.RawConn) (bool, error) {
 	var queued int
 	var info *unix.TCPInfo
@@ -44,10 +45,10 @@
 	switch {
 	case err != nil:
 		return false, eris.Wrap(err, "can't check a connection")
-	case queueErr != nil || infoErr != nil:
+	case queueErr != nil || infoErr != nil || queued == 0:
 		return true, nil
 	case info.State == unix.BPF_TCP_CLOSE:
 		return false, eris.New("the connection was reset")
 	}
-	return queued == 0, nil
+	return false, nil
 }
