internal/edge, internal/strict: tests of broken uploads don't depend on scheduling

The cause is in the tests: an endpoint that resets at once does so before the slowed entry has begun to write, so that only the read learns of it.

The endpoint now also breaks the connection while the entry's write is blocked. All checks that were there stay.

--- a/internal/conns/truncated_test.go
+++ b/internal/conns/truncated_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -177,6 +179,39 @@
 	require.Equal(t, "id: 1\ndata: a part\n\n", string(body))
 }
 
+// TestResetAfterAWholeResponseChangesNothing has an endpoint send a response that tells its own
+// end, and reset the connection while the upload is written and the response isn't read yet.
+func TestResetAfterAWholeResponseChangesNothing(t *testing.T) {
+	whole := strings.Repeat("w", 32<<10)
+	for name, response := range map[string]string{
+		"length": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole),
+		"chunks": fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(whole), whole),
+	} {
+		t.Run(name, func(t *testing.T) {
+			reset := make(chan struct{})
+			address := serveRaw(t, func(conn *net.TCPConn, _ *http.Request, _ io.Reader) {
+				_, _ = io.WriteString(conn, response)
+				time.Sleep(20 * time.Millisecond)
+				stand.Reset(conn)
+				_ = conn.Close()
+				close(reset)
+			})
+			var pool conns.Pool
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			response, err := upload(ctx, &pool, address, 16<<20)
+			require.NoError(t, err)
+			<-reset
+			time.Sleep(20 * time.Millisecond)
+			body, err := io.ReadAll(response)
+			require.NoError(t, err)
+			require.Equal(t, whole, string(body))
+			response.Close()
+			require.Zero(t, pool.Idle())
+		})
+	}
+}
+
 // TestDiscardDoesNotWaitForTheUpload has an endpoint refuse a request and read nothing more.
 func TestDiscardDoesNotWaitForTheUpload(t *testing.T) {
 	left := make(chan struct{})
--- a/internal/edge/truncated_test.go
+++ b/internal/edge/truncated_test.go
@@ -33,6 +33,22 @@
 // longUpload takes longer to write than an endpoint to respond.
 var longUpload = strings.Repeat("u", 4<<20)
 
+// breaks are the ways in which an endpoint breaks a connection after a part of a response.
+// While the entry's write is blocked, it and the read beside it learn of a reset at the same
+// time; at once, which of them does depends on the scheduling of both processes' goroutines.
+var breaks = map[string]func(*net.TCPConn){
+	"reset":  stand.Reset,
+	"closed": func(*net.TCPConn) {},
+	"reset while the write is blocked": func(conn *net.TCPConn) {
+		time.Sleep(blockedAfter)
+		stand.Reset(conn)
+	},
+	"closed while the write is blocked": func(*net.TCPConn) { time.Sleep(blockedAfter) },
+}
+
+// blockedAfter is the time after which longUpload has filled the buffers of a connection.
+const blockedAfter = 20 * time.Millisecond
+
 // TestPartOfAnAnswerIsNotPassedOnAsWhole has an endpoint respond to a long upload at once,
 // without length, and break the connection while the upload is written.
 func TestPartOfAnAnswerIsNotPassedOnAsWhole(t *testing.T) {
@@ -48,15 +64,13 @@
 		{name: "stream that can be resumed", path: "/draft/1", status: "200 OK", part: "id: 1\ndata: token 1\n\n"},
 	}
 	for _, tc := range testCases {
-		for _, how := range []string{"reset", "closed"} {
+		for how, breakConn := range breaks {
 			t.Run(tc.name+", "+how, func(t *testing.T) {
 				s := newSite(t)
 				s.configure([]string{"key-1"}, defaultRoutes...)
 				s.registerRaw("i-raw", func(conn *net.TCPConn, request *http.Request, _ io.Reader) {
 					writePart(conn, request, tc.status, tc.part)
-					if how == "reset" {
-						stand.Reset(conn)
-					}
+					breakConn(conn)
 				})
 				s.startEntry("entry-1")
 				s.waitReady(0)
@@ -84,30 +98,32 @@
 		{name: "stream", path: "/draft/1", part: "id: 1\ndata: token 1\n\n", header: streamHeader},
 	}
 	for _, tc := range testCases {
-		t.Run(tc.name, func(t *testing.T) {
-			s := newSite(t)
-			s.configure([]string{"key-1"}, defaultRoutes...)
-			s.registerRaw("i-raw", func(conn *net.TCPConn, request *http.Request, _ io.Reader) {
-				writePart(conn, request, "200 OK", tc.part)
-				stand.Reset(conn)
-			})
-			sound := s.startReplica("i-1", "gmunden")
-			s.startEntry("entry-1")
-			s.waitReady(0)
-			for n := range calls {
-				header := requestID(fmt.Sprint("request-", n))
-				maps.Copy(header, tc.header)
-				got := s.call(0, http.MethodPost, tc.path, longUpload, header)
-				require.NoError(t, got.err)
-				require.Equal(t, http.StatusOK, got.status, got.body)
-				if tc.header != nil {
-					requireEvents(t, got.body, 8)
-				} else {
-					require.NotEqual(t, tc.part, got.body)
+		for how, breakConn := range breaks {
+			t.Run(tc.name+", "+how, func(t *testing.T) {
+				s := newSite(t)
+				s.configure([]string{"key-1"}, defaultRoutes...)
+				s.registerRaw("i-raw", func(conn *net.TCPConn, request *http.Request, _ io.Reader) {
+					writePart(conn, request, "200 OK", tc.part)
+					breakConn(conn)
+				})
+				sound := s.startReplica("i-1", "gmunden")
+				s.startEntry("entry-1")
+				s.waitReady(0)
+				for n := range calls {
+					header := requestID(fmt.Sprint("request-", n))
+					maps.Copy(header, tc.header)
+					got := s.call(0, http.MethodPost, tc.path, longUpload, header)
+					require.NoError(t, got.err)
+					require.Equal(t, http.StatusOK, got.status, got.body)
+					if tc.header != nil {
+						requireEvents(t, got.body, 8)
+					} else {
+						require.NotEqual(t, tc.part, got.body)
+					}
 				}
-			}
-			require.Len(t, sound.Requests(), calls)
-		})
+				require.Len(t, sound.Requests(), calls)
+			})
+		}
 	}
 }
 
@@ -136,3 +152,23 @@
 		})
 	}
 }
+
+// TestResetAfterAWholeAnswerChangesNothing has an endpoint send an answer with its length and
+// reset the connection while the upload is written.
+func TestResetAfterAWholeAnswerChangesNothing(t *testing.T) {
+	s := newSite(t)
+	s.configure([]string{"key-1"}, defaultRoutes...)
+	s.registerRaw("i-raw", func(conn *net.TCPConn, request *http.Request, _ io.Reader) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"+sealedFields(request)+"\r\nwhole")
+		time.Sleep(blockedAfter)
+		stand.Reset(conn)
+	})
+	s.startEntry("entry-1")
+	s.waitReady(0)
+	for n := range 4 {
+		got := s.call(0, http.MethodPost, "/book/1", longUpload, requestID(fmt.Sprint("request-", n)))
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, "whole", got.body)
+	}
+}
--- a/internal/strict/transport_test.go
+++ b/internal/strict/transport_test.go
@@ -110,6 +110,54 @@
 	}
 }
 
+// TestResetAfterAWholeResponseChangesNothing has an endpoint send a response that tells its own
+// end, and reset the connection while the upload is written.
+func TestResetAfterAWholeResponseChangesNothing(t *testing.T) {
+	for name, response := range map[string]string{
+		"length": wholeResponse,
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			url := serveRaw(t, func(conn *net.TCPConn, _ *http.Request, _ io.Reader) {
+				_, _ = io.WriteString(conn, response)
+				time.Sleep(200 * time.Millisecond)
+				stand.Reset(conn)
+			})
+			body, err := post(newClient(t), url, 16<<20)
+			require.NoError(t, err)
+			require.Equal(t, "whole", body)
+		})
+	}
+}
+
+// TestRequestThatIsWrittenButNotReceived has an endpoint close the connection before the rest
+// of the upload is written. The write succeeds, since the rest fits the send buffer.
+func TestRequestThatIsWrittenButNotReceived(t *testing.T) {
+	closed := make(chan struct{})
+	url := serveRaw(t, func(conn *net.TCPConn, _ *http.Request, upload io.Reader) {
+		_, _ = io.ReadFull(upload, make([]byte, 1))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part")
+		_ = conn.Close()
+		close(closed)
+	})
+	body, rest := io.Pipe()
+	go func() {
+		_, _ = rest.Write([]byte("u"))
+		<-closed
+		time.Sleep(20 * time.Millisecond)
+		_, _ = rest.Write([]byte("p"))
+		_ = rest.Close()
+	}()
+	request, err := http.NewRequest(http.MethodPost, url, body)
+	require.NoError(t, err)
+	request.ContentLength = 2
+	response, err := newClient(t).Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	require.ErrorIs(t, err, strict.ErrTruncated)
+}
+
 // TestEndOfTheRequestEndsTheWait has an endpoint end its response and never read the upload.
 func TestEndOfTheRequestEndsTheWait(t *testing.T) {
 	left := make(chan struct{})
