--- a/internal/stand/kv.go
+++ b/internal/stand/kv.go
@@ -53,6 +53,8 @@
 	deleted  map[string]uint64
 	leases   map[uint64]*kvLease
 	revision uint64
+	// era is one more than the number of recoveries from a backup.
+	era uint64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	counts  KVCounts
@@ -67,10 +69,18 @@
 		pairs:   make(map[string]kvPair),
 		deleted: make(map[string]uint64),
 		leases:  make(map[uint64]*kvLease),
+		era:     1,
 		changed: make(chan struct{}),
 	}
 }
 
+// Era returns the service's era. It rises by one with each recovery from a backup.
+func (k *KV) Era() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.era
+}
+
 // Counts returns the call counters.
 func (k *KV) Counts() KVCounts {
 	k.mu.Lock()
@@ -375,21 +385,64 @@
 	k.frozenReads = &snapshot
 }
 
-// Backup is a copy of the service's pairs at one revision.
+// Backup is a copy of the service's pairs and leases at one revision.
 type Backup struct {
 	pairs    map[string]kvPair
+	leases   map[uint64]time.Duration
 	revision uint64
 }
 
-// Backup returns a copy of the current state, for Restore.
+// Backup returns a copy of the current state, for Restore and Recover.
 func (k *KV) Backup() Backup {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return Backup{pairs: maps.Clone(k.pairs), revision: k.revision}
+	leases := make(map[uint64]time.Duration)
+	for id, held := range k.leases {
+		leases[id] = held.ttl
+	}
+	return Backup{pairs: maps.Clone(k.pairs), leases: leases, revision: k.revision}
+}
+
+// RecoveredLeases selects what becomes of the leases of a backup.
+type RecoveredLeases int
+
+// What becomes of the leases of a backup, which run anew from the recovery if they are kept.
+const (
+	// KeepLeases keeps the leases.
+	KeepLeases RecoveredLeases = iota
+	// DropLeases drops the leases and keeps their keys, which then never expire.
+	DropLeases
+	// DropLeasesAndKeys drops the leases and their keys.
+	DropLeasesAndKeys
+)
+
+// Recover replaces the state with a backup and begins a new era, in which the revisions and
+// leases after the backup are given out again.
+func (k *KV) Recover(backup Backup, leases RecoveredLeases) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.era++
+	k.pairs, k.deleted, k.leases = make(map[string]kvPair), make(map[string]uint64), make(map[uint64]*kvLease)
+	k.revision = backup.revision
+	if leases == KeepLeases {
+		for id, ttl := range backup.leases {
+			k.leases[id] = &kvLease{ttl: ttl, expiresAt: time.Now().Add(ttl), keys: make(map[string]bool)}
+		}
+	}
+	for key, held := range backup.pairs {
+		if held.lease != 0 && leases == DropLeasesAndKeys {
+			continue
+		}
+		if lease, ok := k.leases[held.lease]; ok {
+			lease.keys[key] = true
+		}
+		k.pairs[key] = held
+	}
+	k.notify()
 }
 
-// Restore replaces the state with a backup. It simulates a service that lost its
-// latest writes.
+// Restore replaces the pairs with those of a backup within the same era. It simulates a service
+// that lost its latest writes and doesn't say so.
 func (k *KV) Restore(backup Backup) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
