internal/edge, platform: logs and metrics tell which call saw an older store, and its era

Event 5004 didn't say which call saw the older revision, a watch that gets 410 wasn't logged, and Store-Era wasn't read. So a store that came back from a copy looked like one that answers from an older state. No change of behaviour.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -113,6 +113,7 @@
 	e.settings.Store(&settings)
 	e.limitMemory(settings.Limits())
 	e.storeSyncer = newStoreSyncer(e)
+	e.store.OnEra(e.storeSyncer.logEra)
 	e.registration = newRegistration(e, metrics)
 	e.peers = newPeers(e)
 	e.demands = newDemands(e, metrics)
@@ -148,6 +149,9 @@
 				report(evidence.Age(time.Now()).Milliseconds(), "age")
 			}
 		})
+	metrics.Gauge("lentilstand_store_era", "Newest era that the store has named, 0 if none. It rises each time the store recovers from a copy.", "what",
+		func(report func(int64, string)) { report(int64(e.store.Era()), "era") })
+	e.storeSyncer.older = metrics.Counter("lentilstand_store_older_answers", "Answers of the store that were older than the view, by call.", "call")
 	e.storeSyncer.asks = metrics.Counter("lentilstand_store_asks", "Calls to the store for want of recent evidence, by what they showed.", "result")
 	e.addPaceMetrics(metrics)
 	e.addAdmissionMetrics(metrics)
--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -77,7 +77,7 @@
 		result, err = "read_all", s.readAll(ctx)
 	case err == nil && answer.isOlder():
 		result = "older"
-		event.VersionWentBack.Log(s.entry.logger, zap.Uint64("known_term", answer.after), zap.Uint64("shown_term", answer.revision))
+		s.reportOlder(answer.source, answer.after, answer.revision)
 	case err == nil:
 		if len(answer.changes) > 0 {
 			result = "changed"
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -79,6 +79,8 @@
 	loggedIgnored map[string]string
 
 	asks meter.Counter
+	// older counts the answers of the store that were older than the view, by call.
+	older meter.Counter
 }
 
 func newStoreSyncer(e *Entry) *storeSyncer {
@@ -117,6 +119,7 @@
 		default:
 			err = s.watch(ctx)
 			if eris.Is(err, platform.ErrHistoryCompacted) {
+				event.HistoryMissing.Log(s.entry.logger, zap.Uint64("revision", s.revision()), zap.Uint64("era", s.entry.store.Era()))
 				synced = false
 				continue
 			}
@@ -174,7 +177,7 @@
 	now := time.Now()
 	graceUntil := s.graceUntil(now)
 	if !s.state.Replace(snapshot, now, graceUntil) {
-		event.VersionWentBack.Log(s.entry.logger, zap.Uint64("known_term", s.state.Revision()), zap.Uint64("shown_term", snapshot.Revision()))
+		s.reportOlder("read", s.state.Revision(), snapshot.Revision())
 		return eris.New("the store returned an older revision")
 	}
 	event.PictureTaken.Log(s.entry.logger, zap.String("source", "store"), zap.Uint64("revision", snapshot.Revision()), zap.Bool("after_gap", now.Before(graceUntil)))
@@ -184,6 +187,18 @@
 	return nil
 }
 
+// reportOlder logs and counts an answer of the store that is older than the view.
+func (s *storeSyncer) reportOlder(call string, known, shown uint64) {
+	s.older.Add(1, call)
+	event.VersionWentBack.Log(s.entry.logger, zap.Uint64("known_term", known), zap.Uint64("shown_term", shown),
+		zap.String("call", call), zap.Uint64("era", s.entry.store.Era()))
+}
+
+// logEra logs a change of the era that the store names. Errors of the store needn't name one.
+func (s *storeSyncer) logEra(known uint64, shown, call string) {
+	event.StoreEraChanged.Log(s.entry.logger, zap.Uint64("known", known), zap.String("shown", shown), zap.String("call", call))
+}
+
 // graceUntil returns until when registrations whose keys were removed stay in the view.
 // Leases may have expired only because the store was unreachable or not watched; that
 // ends mirror.ExpiryGrace after the first call that succeeds again. The period doesn't
@@ -235,7 +250,7 @@
 	case err != nil:
 		return err
 	case answer.isOlder():
-		event.VersionWentBack.Log(s.entry.logger, zap.Uint64("known_term", answer.after), zap.Uint64("shown_term", answer.revision))
+		s.reportOlder(answer.source, answer.after, answer.revision)
 		return eris.New("the store answered a watch with an older revision")
 	default:
 		s.applyAnswer(answer)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -93,7 +93,7 @@
 	VersionAdopted   = register(5001, "version_adopted", infoLevel, "The process uses a newer version of the configuration.")
 	VersionStale     = register(5002, "version_stale", warnLevel, "The process cannot prove that its version is current and accepts no new work.")
 	VersionFresh     = register(5003, "version_fresh", infoLevel, "The process can prove again that its version is current.")
-	VersionWentBack  = register(5004, "version_went_back", errorLevel, "The key-value service returned an older head than before; it was ignored.")
+	VersionWentBack  = register(5004, "version_went_back", errorLevel, "The key-value service returned an older head than before; it was ignored. On the platform `call` tells which call showed it, and `era` the newest era that the store has named.")
 	VersionUnusable  = register(5005, "version_unusable", errorLevel, "A version in the key-value service cannot be decoded or breaks the hash chain.")
 	StoreUnreachable = register(5006, "store_unreachable", warnLevel, "The key-value service does not respond.")
 	StoreReachable   = register(5007, "store_reachable", infoLevel, "The key-value service responds again.")
@@ -107,6 +107,8 @@
 	DemandStored     = register(5016, "demand_stored", debugLevel, "The demand for the experts of a service was written to the store, for its leader to plan by when the group opens again.")
 	DemandUnstored   = register(5017, "demand_unstored", infoLevel, "The demand for the experts of a service could not be written to the store; the next one follows.")
 	StoreAsked       = register(5018, "store_asked", infoLevel, "The entry asked the store itself, since the newest evidence that its view is current was `age_ms` old; `result` tells what the answer showed.")
+	StoreEraChanged  = register(5019, "store_era_changed", warnLevel, "The store's answer to `call` names another era, `shown`, than the one before; `known` is the newest so far, zero if there was none. A higher era means that the store came back from a copy, and a lower, unreadable or missing one is ignored.")
+	HistoryMissing   = register(5020, "history_missing", infoLevel, "The store doesn't have the history after `revision` any more, or not in this era; everything is read again.")
 	VersionDropped   = register(5009, "version_dropped", infoLevel, "A staged version was rejected.")
 )
 
