--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -113,7 +113,7 @@
 	e.settings.Store(&settings)
 	e.limitMemory(settings.Limits())
 	e.storeSyncer = newStoreSyncer(e)
-	e.store.OnEra(e.storeSyncer.logEra)
+	e.store.OnEra(e.storeSyncer.observeEra)
 	e.registration = newRegistration(e, metrics)
 	e.peers = newPeers(e)
 	e.demands = newDemands(e, metrics)
@@ -415,10 +415,11 @@
 	status := struct {
 		Version     uint64   `json:"version"`
 		Revision    uint64   `json:"revision"`
+		Era         uint64   `json:"era"`
 		ConfirmedMS int64    `json:"confirmed_ms_ago"`
 		Members     []string `json:"members"`
 		Active      int64    `json:"active"`
-	}{Revision: view.Revision(), ConfirmedMS: time.Since(view.ConfirmedAt()).Milliseconds(), Active: e.active.Load()}
+	}{Revision: view.Revision(), Era: view.Position().Era(), ConfirmedMS: time.Since(view.ConfirmedAt()).Milliseconds(), Active: e.active.Load()}
 	if t := view.Table(); t != nil {
 		status.Version = t.Version()
 	}
--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -65,10 +65,10 @@
 // ask asks the store for changes without waiting for any, and tells the other entries that the
 // view is current.
 func (s *storeSyncer) ask(ctx context.Context) {
-	answer := storeAnswer{source: "ask", after: s.revision(), at: time.Now()}
+	answer := storeAnswer{source: "ask", after: s.position(), at: time.Now()}
 	age := s.evidence.Latest().Age(answer.at)
 	var err error
-	answer.changes, answer.revision, err = s.entry.store.Changes(ctx, allKeys, answer.after, askWait)
+	answer.changes, answer.position, err = s.entry.store.Changes(ctx, allKeys, answer.after, askWait)
 	result := "current"
 	switch {
 	case ctx.Err() != nil:
@@ -77,7 +77,7 @@
 		result, err = "read_all", s.readAll(ctx)
 	case err == nil && answer.isOlder():
 		result = "older"
-		s.reportOlder(answer.source, answer.after, answer.revision)
+		s.reportOlder(answer.source, answer.after, answer.position)
 	case err == nil:
 		if len(answer.changes) > 0 {
 			result = "changed"
@@ -89,7 +89,7 @@
 	if err != nil {
 		result = "failed"
 	} else {
-		event.StoreAsked.Log(s.entry.logger, zap.Int64("age_ms", age.Milliseconds()), zap.Uint64("revision", s.revision()), zap.String("result", result))
+		event.StoreAsked.Log(s.entry.logger, zap.Int64("age_ms", age.Milliseconds()), zap.Uint64("revision", s.position().Revision()), zap.String("result", result))
 	}
 	s.asks.Add(1, result)
 	s.evidence.Asked(time.Now(), err == nil && result != "older")
@@ -102,32 +102,36 @@
 // storeAnswer is the answer to a call for changes.
 type storeAnswer struct {
 	source string
-	// after is the revision after which changes were asked for, and revision the newest one of
-	// the store at a moment, which is that of the call or later.
-	after, revision uint64
+	// after is the position after which changes were asked for, and position the latest one of
+	// the store at a moment, which is that of the call or later. Both are in the same era.
+	after, position store.Position
 	changes         []store.Change
 	at              time.Time
 }
 
-// isOlder reports whether the answer is from before the known revision.
-func (a storeAnswer) isOlder() bool { return a.revision < a.after }
+// isOlder reports whether the answer is from before the known position.
+func (a storeAnswer) isOlder() bool { return a.after.After(a.position) }
 
 // applyAnswer applies an answer. The caller holds s.mu.
 func (s *storeSyncer) applyAnswer(answer storeAnswer) {
+	if answer.position.Era() != s.state.Position().Era() {
+		// A peer has shown a later era meanwhile.
+		return
+	}
 	now := time.Now()
 	graceUntil := s.graceUntil(now)
 	if len(answer.changes) > 0 {
-		s.state.Apply(answer.changes, answer.revision, now, graceUntil)
+		s.state.Apply(answer.changes, answer.position.Revision(), now, graceUntil)
 		s.publish(answer.source)
 	}
 	s.lastContact, s.disconnected = now, false
-	s.confirm(answer.revision, fresh.Seen(answer.at))
+	s.confirm(answer.position, fresh.Seen(answer.at))
 }
 
-// confirm records evidence that the store's newest revision was the given one. The caller
+// confirm records evidence that the store's latest position was the given one. The caller
 // holds s.mu.
-func (s *storeSyncer) confirm(revision uint64, evidence fresh.Evidence) {
-	if !s.evidence.Confirm(revision, evidence) {
+func (s *storeSyncer) confirm(position store.Position, evidence fresh.Evidence) {
+	if !s.evidence.Confirm(position, evidence) {
 		return
 	}
 	s.state.Confirm(evidence.At())
@@ -135,10 +139,10 @@
 }
 
 // receiveEvidence records evidence that another entry has passed on.
-func (s *storeSyncer) receiveEvidence(revision uint64, evidence fresh.Evidence) {
+func (s *storeSyncer) receiveEvidence(position store.Position, evidence fresh.Evidence) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.confirm(revision, evidence)
+	s.confirm(position, evidence)
 	s.noteEvidence()
 }
 
--- a/internal/edge/evidence_test.go
+++ b/internal/edge/evidence_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lentilstand/lentilstand/internal/wirepb"
 	"github.com/lentilstand/lentilstand/pkg/fresh"
+	"github.com/lentilstand/lentilstand/pkg/store"
 	"github.com/lentilstand/lentilstand/pkg/table"
 )
 
@@ -49,8 +50,8 @@
 		member := table.NewMember(fmt.Sprint(i), "a", "10.0.0.1:1", "10.0.0.1:2")
 		f.members, f.index[member.Name()] = append(f.members, member), i
 		tracker := fresh.New(askSpread)
-		tracker.Advance(1)
-		tracker.Confirm(1, fresh.Seen(f.now))
+		tracker.Advance(store.At(0, 1))
+		tracker.Confirm(store.At(0, 1), fresh.Seen(f.now))
 		f.trackers = append(f.trackers, tracker)
 		f.targets = append(f.targets, roundRobin{position: f.random.IntN(1 << 20)})
 		f.phases = append(f.phases, time.Duration(f.random.IntN(int(helloPeriod/evidenceTick)))*evidenceTick)
@@ -71,7 +72,7 @@
 	for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(evidenceTick) {
 		for i, tracker := range f.trackers {
 			if i < relayWatchers && !f.cut[i] && !f.now.Before(f.watchEnds[i]) {
-				tracker.Confirm(1, fresh.Seen(f.now))
+				tracker.Confirm(store.At(0, 1), fresh.Seen(f.now))
 				f.watchEnds[i] = f.now.Add(storeDelay + f.watchTimeout(i))
 			}
 			if tracker.AskIn(f.now, limit, askRetry) <= 0 {
@@ -80,7 +81,7 @@
 				tracker.Asked(f.now, !f.cut[i])
 				if !f.cut[i] {
 					f.answered++
-					tracker.Confirm(1, fresh.Seen(f.now.Add(-storeDelay)))
+					tracker.Confirm(store.At(0, 1), fresh.Seen(f.now.Add(-storeDelay)))
 					f.hello(i, f.members)
 				}
 			}
@@ -104,7 +105,7 @@
 			continue
 		}
 		if evidence, ok := readEvidence(hello, f.now); ok {
-			f.trackers[f.index[member.Name()]].Confirm(1, evidence)
+			f.trackers[f.index[member.Name()]].Confirm(store.At(0, 1), evidence)
 		}
 	}
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -47,6 +47,9 @@
 	gapThreshold = time.Second
 )
 
+// maxLoggedKeys limits the keys in a log entry.
+const maxLoggedKeys = 8
+
 // allKeys is the prefix of every key.
 const allKeys = ""
 
@@ -77,6 +80,8 @@
 	loggedEvacuations map[string]bool
 	// loggedIgnored are the endpoints that were last logged as ignored, with the reason.
 	loggedIgnored map[string]string
+	// loggedHeld identifies what was last logged as held.
+	loggedHeld uint64
 
 	asks meter.Counter
 	// older counts the answers of the store that were older than the view, by call.
@@ -110,7 +115,7 @@
 	for ctx.Err() == nil {
 		var err error
 		switch {
-		case !synced:
+		case !synced || s.isEraNew():
 			err = s.readAll(ctx)
 			synced = err == nil
 		case !s.shouldWatch():
@@ -119,7 +124,7 @@
 		default:
 			err = s.watch(ctx)
 			if eris.Is(err, platform.ErrHistoryCompacted) {
-				event.HistoryMissing.Log(s.entry.logger, zap.Uint64("revision", s.revision()), zap.Uint64("era", s.entry.store.Era()))
+				event.HistoryMissing.Log(s.entry.logger, zap.Uint64("revision", s.position().Revision()), zap.Uint64("era", s.entry.store.Era()))
 				synced = false
 				continue
 			}
@@ -165,6 +170,9 @@
 	return minWatchTimeout + time.Duration(fraction*float64(maxWatchTimeout-minWatchTimeout))
 }
 
+// isEraNew reports whether the store has begun an era of which the view has nothing yet.
+func (s *storeSyncer) isEraNew() bool { return s.entry.store.Era() > s.position().Era() }
+
 // readAll reads all keys and replaces the view.
 func (s *storeSyncer) readAll(ctx context.Context) error {
 	sentAt := time.Now()
@@ -175,28 +183,53 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	s.noteEra(snapshot.Position().Era(), now)
 	graceUntil := s.graceUntil(now)
 	if !s.state.Replace(snapshot, now, graceUntil) {
-		s.reportOlder("read", s.state.Revision(), snapshot.Revision())
+		s.reportOlder("read", s.state.Position(), snapshot.Position())
 		return eris.New("the store returned an older revision")
 	}
-	event.PictureTaken.Log(s.entry.logger, zap.String("source", "store"), zap.Uint64("revision", snapshot.Revision()), zap.Bool("after_gap", now.Before(graceUntil)))
+	event.PictureTaken.Log(s.entry.logger, zap.String("source", "store"), zap.Uint64("revision", snapshot.Revision()), zap.Uint64("era", snapshot.Position().Era()),
+		zap.Bool("after_gap", now.Before(graceUntil)))
 	s.lastContact, s.disconnected = now, false
 	s.publish("store")
-	s.confirm(snapshot.Revision(), fresh.Seen(sentAt))
+	s.confirm(snapshot.Position(), fresh.Seen(sentAt))
 	return nil
 }
 
 // reportOlder logs and counts an answer of the store that is older than the view.
-func (s *storeSyncer) reportOlder(call string, known, shown uint64) {
+func (s *storeSyncer) reportOlder(call string, known, shown store.Position) {
 	s.older.Add(1, call)
-	event.VersionWentBack.Log(s.entry.logger, zap.Uint64("known_term", known), zap.Uint64("shown_term", shown),
+	event.VersionWentBack.Log(s.entry.logger, zap.Uint64("known_term", known.Revision()), zap.Uint64("shown_term", shown.Revision()),
 		zap.String("call", call), zap.Uint64("era", s.entry.store.Era()))
 }
 
-// logEra logs a change of the era that the store names. Errors of the store needn't name one.
-func (s *storeSyncer) logEra(known uint64, shown, call string) {
+// observeEra logs a change of the era that the store names, and ends the watch if the era is new:
+// it waits for changes after a revision that the store may give out again.
+func (s *storeSyncer) observeEra(known uint64, shown, call string) {
 	event.StoreEraChanged.Log(s.entry.logger, zap.Uint64("known", known), zap.String("shown", shown), zap.String("call", call))
+	if s.entry.store.Era() == known {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.interruptWatch()
+}
+
+// interruptWatch cancels the running watch, if there is one. The caller holds s.mu.
+func (s *storeSyncer) interruptWatch() {
+	if s.cancelWatch != nil {
+		s.cancelWatch()
+		s.cancelWatch = nil
+	}
+}
+
+// noteEra begins a grace period if the view is about to enter a new era: leases may have been lost
+// in the recovery. The caller holds s.mu.
+func (s *storeSyncer) noteEra(era uint64, now time.Time) {
+	if known := s.state.Position(); era > known.Era() && known != (store.Position{}) {
+		s.expiryGraceUntil = now.Add(mirror.ExpiryGrace)
+	}
 }
 
 // graceUntil returns until when registrations whose keys were removed stay in the view.
@@ -216,15 +249,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.mu.Lock()
-	after := s.state.Revision()
+	after := s.state.Position()
 	s.cancelWatch = cancel
 	s.mu.Unlock()
 	wait, sentAt := s.watchTimeout(), time.Now()
-	changes, revision, err := s.entry.store.Changes(ctx, allKeys, after, wait)
+	changes, position, err := s.entry.store.Changes(ctx, allKeys, after, wait)
 	if len(changes) > 0 {
 		defer sleep(ctx, coalesceDelay)
 	}
-	answer := storeAnswer{source: "watch", after: after, changes: changes, revision: revision, at: sentAt}
+	answer := storeAnswer{source: "watch", after: after, changes: changes, position: position, at: sentAt}
 	if len(changes) == 0 && time.Since(sentAt) >= wait {
 		// The store has waited for so long before it answered.
 		answer.at = sentAt.Add(wait)
@@ -250,7 +283,7 @@
 	case err != nil:
 		return err
 	case answer.isOlder():
-		s.reportOlder(answer.source, answer.after, answer.revision)
+		s.reportOlder(answer.source, answer.after, answer.position)
 		return eris.New("the store answered a watch with an older revision")
 	default:
 		s.applyAnswer(answer)
@@ -258,27 +291,40 @@
 	}
 }
 
-// applyUpdate applies what a peer has read from the store, if it is newer than the view.
+// applyUpdate applies what a peer has read from the store, if it is newer than the view, and what it
+// holds from earlier eras.
 func (s *storeSyncer) applyUpdate(update stateUpdate, peer string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if update.revision <= s.state.Revision() {
+	now := time.Now()
+	isNewer := update.position.After(s.state.Position())
+	switch {
+	case isNewer && update.partial && update.position.Era() == s.state.Position().Era():
+		s.state.Apply(update.changes, update.position.Revision(), now, s.graceUntil(now))
+	case isNewer && !update.partial:
+		s.noteEra(update.position.Era(), now)
+		s.state.Replace(store.SnapshotAt(update.pairs, update.position), now, s.graceUntil(now))
+		event.PictureTaken.Log(s.entry.logger, zap.String("source", peer), zap.Uint64("revision", update.position.Revision()),
+			zap.Uint64("era", update.position.Era()))
+	case isNewer:
 		return
 	}
-	now := time.Now()
-	if update.partial {
-		s.state.Apply(update.changes, update.revision, now, s.graceUntil(now))
-	} else {
-		s.state.Replace(store.NewSnapshot(update.pairs, update.revision), now, s.graceUntil(now))
-		event.PictureTaken.Log(s.entry.logger, zap.String("source", peer), zap.Uint64("revision", update.revision))
+	gained := update.position.Era() == s.state.Position().Era() && s.state.MergeHeld(update.held, now)
+	if gained {
+		event.LostStateLearned.Log(s.entry.logger, zap.String("peer", peer), zap.Uint64("era", update.position.Era()), zap.Int("keys", len(update.held)))
+	}
+	if !isNewer && !gained {
+		return
 	}
 	s.publish(peer)
+	if !isNewer {
+		return
+	}
 	s.noteEvidence()
 	if s.cancelWatch != nil {
 		// The running watch has missed the peer's changes.
-		event.WatchBehind.Log(s.entry.logger, zap.String("peer", peer), zap.Uint64("revision", update.revision))
-		s.cancelWatch()
-		s.cancelWatch = nil
+		event.WatchBehind.Log(s.entry.logger, zap.String("peer", peer), zap.Uint64("revision", update.position.Revision()))
+		s.interruptWatch()
 	}
 }
 
@@ -291,7 +337,7 @@
 			event.ItemUnreadable.Log(logger, zap.String("key", finding.Key()), event.Error(finding.Err()))
 		}
 	}
-	s.evidence.Advance(s.state.Revision())
+	s.evidence.Advance(s.state.Position())
 	view := s.state.View()
 	if t := view.Table(); t != nil && t.Version() != s.loggedVersion {
 		s.loggedVersion = t.Version()
@@ -299,6 +345,7 @@
 	}
 	s.logEvacuations(view)
 	s.logIgnored(view)
+	s.logHeld()
 	s.entry.publish(view)
 }
 
@@ -324,6 +371,21 @@
 	s.loggedEvacuations = evacuated
 }
 
+// logHeld logs what the view keeps in use though the store has lost it. The caller holds s.mu.
+func (s *storeSyncer) logHeld() {
+	fingerprint := s.state.HeldFingerprint()
+	if fingerprint == s.loggedHeld {
+		return
+	}
+	s.loggedHeld = fingerprint
+	held := s.state.Held()
+	var keys []string
+	for _, item := range held[:min(len(held), maxLoggedKeys)] {
+		keys = append(keys, item.Pair().Key())
+	}
+	event.LostStateHeld.Log(s.entry.logger, zap.Int("count", len(held)), zap.Strings("keys", keys), zap.Uint64("era", s.state.Position().Era()))
+}
+
 // logIgnored logs the endpoints that are no longer used, or for another reason, though the store
 // has them. The caller holds s.mu.
 func (s *storeSyncer) logIgnored(view *mirror.View) {
@@ -344,28 +406,40 @@
 	}
 }
 
-// updateSince returns what a peer with a revision is missing.
-func (s *storeSyncer) updateSince(revision uint64) stateUpdate {
+// updateSince returns what a peer at a position is missing.
+func (s *storeSyncer) updateSince(position store.Position) stateUpdate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if changes, ok := s.state.ChangesSince(revision); ok {
-		return stateUpdate{revision: s.state.Revision(), partial: true, changes: changes}
+	update := stateUpdate{position: s.state.Position(), held: s.state.Held()}
+	if position.Era() == update.position.Era() {
+		update.changes, update.partial = s.state.ChangesSince(position.Revision())
+	}
+	if !update.partial {
+		update.pairs = s.state.Pairs()
 	}
-	return stateUpdate{revision: s.state.Revision(), pairs: s.state.Pairs()}
+	return update
 }
 
-// lookup returns the pair of a key in the view and the view's revision.
-func (s *storeSyncer) lookup(key string) (pair store.Pair, found bool, revision uint64) {
+// lookup returns the pair that the store has for a key, as of the view's position.
+func (s *storeSyncer) lookup(key string) (pair store.Pair, found bool, position store.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pair, found = s.state.Lookup(key)
-	return pair, found, s.state.Revision()
+	return pair, found, s.state.Position()
+}
+
+// position returns the position of the store that the view reflects.
+func (s *storeSyncer) position() store.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Position()
 }
 
-func (s *storeSyncer) revision() uint64 {
+// heldFingerprint identifies what the view keeps in use though the store has lost it.
+func (s *storeSyncer) heldFingerprint() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.Revision()
+	return s.state.HeldFingerprint()
 }
 
 // setReachable records whether the last call to the store succeeded, and logs a change.
--- a/internal/edge/guests.go
+++ b/internal/edge/guests.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lentilstand/lentilstand/pkg/mirror"
+	"github.com/lentilstand/lentilstand/pkg/store"
 	"github.com/lentilstand/lentilstand/pkg/table"
 )
 
@@ -18,17 +19,17 @@
 // that members get. The zero value is empty.
 type guests struct {
 	heardAt map[netip.AddrPort]time.Time
-	// members has the addresses of the members of a view, by its revision and the number of its
+	// members has the addresses of the members of a view, by its position and the number of its
 	// members, which a grace period that ends changes without a new revision.
 	members  map[netip.AddrPort]bool
-	revision uint64
+	position store.Position
 	count    int
 }
 
 // isMember reports whether a view has a member with an address.
 func (g *guests) isMember(view *mirror.View, address netip.AddrPort) bool {
-	if g.members == nil || g.revision != view.Revision() || g.count != len(view.Members()) {
-		g.members, g.revision, g.count = make(map[netip.AddrPort]bool), view.Revision(), len(view.Members())
+	if g.members == nil || g.position != view.Position() || g.count != len(view.Members()) {
+		g.members, g.position, g.count = make(map[netip.AddrPort]bool), view.Position(), len(view.Members())
 		for _, member := range view.Members() {
 			if address, err := netip.ParseAddrPort(member.PeerAddress()); err == nil {
 				g.members[address] = true
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -16,6 +16,7 @@
 	"github.com/lentilstand/lentilstand/internal/link"
 	"github.com/lentilstand/lentilstand/internal/parts"
 	"github.com/lentilstand/lentilstand/internal/wirepb"
+	"github.com/lentilstand/lentilstand/pkg/mirror"
 	"github.com/lentilstand/lentilstand/pkg/sched"
 	"github.com/lentilstand/lentilstand/pkg/store"
 	"github.com/lentilstand/lentilstand/pkg/table"
@@ -72,27 +73,41 @@
 	// the last one was sent.
 	announcing  bool
 	announcedAt time.Time
-	// newestRevision is the newest revision announced by a peer, and aheadSince when
+	// newestPosition is the latest position announced by a peer, and aheadSince when
 	// peers were first ahead of this entry. newestPeer and newestAddress are those of
-	// the peer that announced newestRevision last.
-	newestRevision uint64
+	// the peer that announced newestPosition last.
+	newestPosition store.Position
 	aheadSince     time.Time
 	newestPeer     string
 	newestAddress  netip.AddrPort
-	targets        roundRobin
-	guests         guests
+	// holder is a peer that holds what this entry may lack, and mergedHeld identifies what
+	// peers hold that was fetched already, by the era.
+	holder     holder
+	mergedHeld map[uint64]bool
+	mergedEra  uint64
+	targets    roundRobin
+	guests     guests
 	// wake is signalled when a peer announces a newer revision.
 	wake chan struct{}
 }
 
+// holder is a peer and the fingerprint of what it holds that the store has lost. The zero value is
+// nobody.
+type holder struct {
+	name        string
+	address     netip.AddrPort
+	fingerprint uint64
+}
+
 // stateUpdate is what an entry has read from the store: the changes since the revision
 // that another entry knows if partial is set, otherwise all pairs. The wire
-// format calls it a picture.
+// format calls it a picture. Held is what the entry knows from earlier eras beside it.
 type stateUpdate struct {
-	revision uint64
+	position store.Position
 	partial  bool
 	changes  []store.Change
 	pairs    []store.Pair
+	held     []mirror.Held
 }
 
 func newPeers(e *Entry) *peers {
@@ -239,11 +254,12 @@
 }
 
 // sendSuspects sends all that this entry knows about suspects to an entry that has just
-// started, and that would send them to endpoints until it hears of them.
+// started, and that would send them to endpoints until it hears of them. It also tells whether this
+// entry holds what the store has lost.
 func (p *peers) sendSuspects(address netip.AddrPort) {
 	message := p.helloMessage(true)
 	hello := message.GetHello()
-	if len(hello.GetParts()) == 0 && len(hello.GetSuspects()) == 0 {
+	if len(hello.GetParts()) == 0 && len(hello.GetSuspects()) == 0 && hello.GetHeld() == 0 {
 		return
 	}
 	hello.Starting = false
@@ -262,14 +278,16 @@
 func (p *peers) helloMessage(full bool) *wirepb.Datagram {
 	// Evidence covers each later revision, but no earlier one.
 	evidence := p.entry.storeSyncer.evidence.Latest()
-	watching, revision := p.entry.storeSyncer.isWatching(), p.entry.storeSyncer.revision()
+	watching, position := p.entry.storeSyncer.isWatching(), p.entry.storeSyncer.position()
 	reports := p.entry.parts.tracker.Export(time.Now())
 	if full {
 		reports = p.entry.parts.tracker.ExportAll(time.Now())
 	}
 	hello := &wirepb.Hello{
 		Name:     p.entry.settings.Load().Name(),
-		Revision: revision,
+		Revision: position.Revision(),
+		Era:      position.Era(),
+		Held:     p.entry.storeSyncer.heldFingerprint(),
 		Suspects: p.entry.crashTracker.export(full),
 		Watching: watching,
 		Parts:    parts.Encode(reports),
@@ -422,10 +440,10 @@
 	if hello.GetStarting() {
 		p.sendSuspects(from)
 	}
-	known := p.entry.storeSyncer.revision()
+	known, held, position := p.entry.storeSyncer.position(), p.entry.storeSyncer.heldFingerprint(), store.At(hello.GetEra(), hello.GetRevision())
 	now := time.Now()
 	if evidence, ok := readEvidence(hello, now); ok {
-		p.entry.storeSyncer.receiveEvidence(hello.GetRevision(), evidence)
+		p.entry.storeSyncer.receiveEvidence(position, evidence)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -436,14 +454,16 @@
 		delete(p.leaving, hello.GetName())
 	}
 	p.guests.hear(p.entry.view.Load(), from, hello.GetLeaving(), now)
-	if hello.GetRevision() <= known {
-		return
-	}
-	if p.newestRevision <= known {
+	isHolder := p.noteHolder(holder{name: hello.GetName(), address: from, fingerprint: hello.GetHeld()}, position, known, held)
+	isAhead := position.After(known)
+	if isAhead && !p.newestPosition.After(known) {
 		p.aheadSince = now
 	}
-	if hello.GetRevision() >= p.newestRevision {
-		p.newestRevision, p.newestPeer, p.newestAddress = hello.GetRevision(), hello.GetName(), from
+	if isAhead && position.Compare(p.newestPosition) >= 0 {
+		p.newestPosition, p.newestPeer, p.newestAddress = position, hello.GetName(), from
+	}
+	if !isAhead && !isHolder {
+		return
 	}
 	select {
 	case p.wake <- struct{}{}:
@@ -451,17 +471,36 @@
 	}
 }
 
-// catchUp fetches the state of a peer with a newer revision: at once if this entry does
-// not watch the store, otherwise if its watch has not delivered that revision within
-// fetchDelay.
+// noteHolder records a peer that holds, in the era of this entry, what this entry may lack. It reports
+// whether the peer is one. The caller holds p.mu.
+func (p *peers) noteHolder(peer holder, position, known store.Position, held uint64) bool {
+	if p.mergedHeld == nil || p.mergedEra != known.Era() {
+		p.mergedHeld, p.mergedEra, p.holder = make(map[uint64]bool), known.Era(), holder{}
+	}
+	if peer.fingerprint == 0 || peer.fingerprint == held || position.Era() != known.Era() || p.mergedHeld[peer.fingerprint] {
+		return false
+	}
+	p.holder = peer
+	return true
+}
+
+// catchUp fetches the state of a peer with a later position: at once if this entry does
+// not watch the store or the peer has seen a new era, otherwise if its watch has not delivered that
+// revision within fetchDelay. It also fetches what a peer holds that the store has lost.
 func (p *peers) catchUp(ctx context.Context) {
-	known := p.entry.storeSyncer.revision()
+	known := p.entry.storeSyncer.position()
 	usesRelay := !p.entry.storeSyncer.shouldWatch()
 	p.mu.Lock()
-	due := p.newestRevision > known && (usesRelay || time.Since(p.aheadSince) > fetchDelay)
+	isDue := p.newestPosition.After(known) &&
+		(usesRelay || p.newestPosition.Era() > known.Era() || time.Since(p.aheadSince) > fetchDelay)
 	name, address := p.newestPeer, p.newestAddress
+	peer := p.holder
+	p.holder = holder{}
+	if !isDue && peer.fingerprint != 0 {
+		name, address, isDue = peer.name, peer.address, true
+	}
 	p.mu.Unlock()
-	if !due {
+	if !isDue {
 		return
 	}
 	// The address is taken from the peer's datagram, since a process that has just
@@ -472,10 +511,18 @@
 		return
 	}
 	p.entry.storeSyncer.applyUpdate(update, name)
+	if address == peer.address {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.mergedHeld[peer.fingerprint] = len(p.mergedHeld) < maxMergedHeld
+	}
 }
 
-// fetch requests what the entry at address has read since a known revision.
-func (p *peers) fetch(ctx context.Context, address string, known uint64) (stateUpdate, error) {
+// maxMergedHeld limits the fingerprints that an entry keeps in an era.
+const maxMergedHeld = 4096
+
+// fetch requests what the entry at address has read since a known position.
+func (p *peers) fetch(ctx context.Context, address string, known store.Position) (stateUpdate, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	session, err := p.entry.dialer.Dial(ctx, address)
@@ -487,7 +534,7 @@
 	if err != nil {
 		return stateUpdate{}, err
 	}
-	request := &wirepb.Frame{Body: &wirepb.Frame_PictureAsk{PictureAsk: &wirepb.PictureAsk{Revision: known}}}
+	request := &wirepb.Frame{Body: &wirepb.Frame_PictureAsk{PictureAsk: &wirepb.PictureAsk{Revision: known.Revision(), Era: known.Era()}}}
 	if err := stream.Write(request); err != nil {
 		return stateUpdate{}, err
 	}
@@ -496,7 +543,7 @@
 		return stateUpdate{}, err
 	}
 	picture := response.GetPicture()
-	update := stateUpdate{revision: picture.GetRevision(), partial: picture.GetPartial()}
+	update := stateUpdate{position: store.At(picture.GetEra(), picture.GetRevision()), partial: picture.GetPartial(), held: decodeHeld(picture.GetHeld())}
 	for _, wire := range picture.GetPairs() {
 		pair := store.NewPair(wire.GetKey(), wire.GetValue(), wire.GetRevision())
 		update.pairs = append(update.pairs, pair)
@@ -508,13 +555,41 @@
 	return update, nil
 }
 
+// encodeHeld encodes what an entry knows from earlier eras.
+func encodeHeld(held []mirror.Held) []*wirepb.HeldPair {
+	var encoded []*wirepb.HeldPair
+	for _, item := range held {
+		pair := item.Pair()
+		encoded = append(encoded, &wirepb.HeldPair{
+			Pair:    &wirepb.StoredPair{Key: pair.Key(), Value: pair.Value(), Revision: pair.Revision()},
+			Removed: item.IsRemoved(), Era: item.Position().Era(), Revision: item.Position().Revision(),
+			Shown: item.Shown(), LeftMs: uint32(item.Left().Milliseconds()),
+		})
+	}
+	return encoded
+}
+
+// decodeHeld is the inverse of encodeHeld.
+func decodeHeld(encoded []*wirepb.HeldPair) []mirror.Held {
+	var held []mirror.Held
+	for _, wire := range encoded {
+		pair := store.NewPair(wire.GetPair().GetKey(), wire.GetPair().GetValue(), wire.GetPair().GetRevision())
+		position := store.At(wire.GetEra(), wire.GetRevision())
+		held = append(held, mirror.NewHeld(pair, wire.GetRemoved(), position, wire.GetShown(), time.Duration(wire.GetLeftMs())*time.Millisecond))
+	}
+	return held
+}
+
 // serveStream serves a peer's request for this entry's state.
 func (p *peers) serveStream(_ *link.Session, stream *link.Stream, first *wirepb.Frame) {
 	if first.GetPictureAsk() == nil {
 		return
 	}
-	update := p.entry.storeSyncer.updateSince(first.GetPictureAsk().GetRevision())
-	picture := &wirepb.Picture{Revision: update.revision, Partial: update.partial}
+	ask := first.GetPictureAsk()
+	update := p.entry.storeSyncer.updateSince(store.At(ask.GetEra(), ask.GetRevision()))
+	picture := &wirepb.Picture{
+		Revision: update.position.Revision(), Era: update.position.Era(), Partial: update.partial, Held: encodeHeld(update.held),
+	}
 	add := func(pair store.Pair, list *[]*wirepb.StoredPair) {
 		*list = append(*list, &wirepb.StoredPair{Key: pair.Key(), Value: pair.Value(), Revision: pair.Revision()})
 	}
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -117,7 +117,8 @@
 // caller holds the lock.
 func (r *registration) write(ctx context.Context) error {
 	key := r.key()
-	pair, found, revision := r.entry.storeSyncer.lookup(key)
+	pair, found, position := r.entry.storeSyncer.lookup(key)
+	revision := position.Revision()
 	if found && bytes.Equal(pair.Value(), r.value) {
 		r.confirm(pair.Revision(), "seen")
 		return nil
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -109,6 +109,8 @@
 	StoreAsked       = register(5018, "store_asked", infoLevel, "The entry asked the store itself, since the newest evidence that its view is current was `age_ms` old; `result` tells what the answer showed.")
 	StoreEraChanged  = register(5019, "store_era_changed", warnLevel, "The store's answer to `call` names another era, `shown`, than the one before; `known` is the newest so far, zero if there was none. A higher era means that the store came back from a copy, and a lower, unreadable or missing one is ignored.")
 	HistoryMissing   = register(5020, "history_missing", infoLevel, "The store doesn't have the history after `revision` any more, or not in this era; everything is read again.")
+	LostStateHeld    = register(5021, "lost_state_held", warnLevel, "The store has recovered from a copy that lacks `count` keys, or has them in an older form; the last known form stays in use until it is written again, or for a limited time. `keys` names some of them; a count of zero means that none is left.")
+	LostStateLearned = register(5022, "lost_state_learned", infoLevel, "The entry has learned from `peer` what the store has lost by a recovery from a copy.")
 	VersionDropped   = register(5009, "version_dropped", infoLevel, "A staged version was rejected.")
 )
 
--- a/pkg/fresh/fresh.go
+++ b/pkg/fresh/fresh.go
@@ -1,9 +1,9 @@
 // Package fresh tells how current a process's copy of a store is.
 //
 // That a process watches a store says nothing about the store: a watch that gets no answer
-// looks like one without changes. What counts is evidence: a source's newest revision was n,
-// by a call that was sent d ago. Evidence about revision n covers each copy of revision n or
-// newer. Processes pass it on with its age, to which each adds the time that it kept the
+// looks like one without changes. What counts is evidence: a source's newest position was n,
+// by a call that was sent d ago. Evidence about position n covers each copy at position n or
+// later in the same era. Processes pass it on with its age, to which each adds the time that it kept the
 // evidence. A process whose evidence is older than a limit asks the source itself.
 //
 // A Tracker has the latest evidence of a process. It is a state machine without I/O.
@@ -13,6 +13,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/lentilstand/lentilstand/pkg/store"
 )
 
 // Age returns the time since a moment by the monotonic clock or the wall clock, whichever is
@@ -31,7 +33,7 @@
 // differs by less may be the same evidence on another way.
 const echoMargin = 50 * time.Millisecond
 
-// Evidence is a moment at which a source was asked for its newest revision. The zero value is
+// Evidence is a moment at which a source was asked for its newest position. The zero value is
 // no evidence.
 type Evidence struct {
 	at   time.Time
@@ -73,14 +75,14 @@
 	spread time.Duration
 
 	mu sync.Mutex
-	// revision is that of the copy.
-	revision uint64
+	// position is that of the copy.
+	position store.Position
 	// evidence covers the copy. Delay is the part of the spread by which this process asks
 	// later than others.
 	evidence Evidence
 	delay    time.Duration
-	// pending is evidence about pendingRevision, which the copy doesn't have yet.
-	pendingRevision uint64
+	// pending is evidence about pendingPosition, which the copy doesn't have yet.
+	pendingPosition store.Position
 	pending         Evidence
 	// askedAt is when the source was asked last without an answer, zero after an answer.
 	askedAt time.Time
@@ -89,17 +91,20 @@
 // New returns a tracker for an empty copy.
 func New(spread time.Duration) *Tracker { return &Tracker{spread: spread} }
 
-// Confirm records evidence that the newest revision of the source was the given one, and reports
-// whether it is the latest evidence about the copy. Evidence about a newer revision is kept
-// until the copy has that.
-func (t *Tracker) Confirm(revision uint64, evidence Evidence) bool {
+// Confirm records evidence that the newest position of the source was the given one, and reports
+// whether it is the latest evidence about the copy. Evidence about a later position is kept
+// until the copy has that. Evidence about an earlier era says nothing.
+func (t *Tracker) Confirm(position store.Position, evidence Evidence) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if revision > t.revision {
-		if revision >= t.pendingRevision {
-			t.pendingRevision, t.pending = revision, evidence
+	switch {
+	case position.After(t.position):
+		if position.Compare(t.pendingPosition) >= 0 {
+			t.pendingPosition, t.pending = position, evidence
 		}
 		return false
+	case position.Era() < t.position.Era():
+		return false
 	}
 	return t.accept(evidence)
 }
@@ -113,14 +118,18 @@
 	return true
 }
 
-// Advance records that the copy has a revision.
-func (t *Tracker) Advance(revision uint64) {
+// Advance records that the copy has a position.
+func (t *Tracker) Advance(position store.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.revision = max(t.revision, revision)
-	if t.pendingRevision != 0 && t.pendingRevision <= t.revision {
-		t.accept(t.pending)
-		t.pendingRevision, t.pending = 0, Evidence{}
+	if position.After(t.position) {
+		t.position = position
+	}
+	if t.pendingPosition != (store.Position{}) && !t.pendingPosition.After(t.position) {
+		if t.pendingPosition.Era() == t.position.Era() {
+			t.accept(t.pending)
+		}
+		t.pendingPosition, t.pending = store.Position{}, Evidence{}
 	}
 }
 
--- a/pkg/fresh/fresh_test.go
+++ b/pkg/fresh/fresh_test.go
@@ -8,14 +8,15 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lentilstand/lentilstand/pkg/fresh"
+	"github.com/lentilstand/lentilstand/pkg/store"
 )
 
 func ExampleTracker() {
 	now := time.Unix(1000, 0)
 	tracker := fresh.New(0)
-	tracker.Advance(7)
+	tracker.Advance(store.At(0, 7))
 	// Another process asked the source 400 ms ago, when revision 7 was the newest.
-	tracker.Confirm(7, fresh.Relayed(now.Add(-400*time.Millisecond), 0))
+	tracker.Confirm(store.At(0, 7), fresh.Relayed(now.Add(-400*time.Millisecond), 0))
 	fmt.Println("ask in", tracker.AskIn(now, 1600*time.Millisecond, time.Second))
 	// Output: ask in 1.2s
 }
@@ -25,12 +26,12 @@
 func TestEvidenceCoversItsRevision(t *testing.T) {
 	now := time.Unix(1000, 0)
 	tracker := fresh.New(0)
-	tracker.Advance(5)
-	require.True(t, tracker.Confirm(3, fresh.Seen(now)), "evidence about an older revision covers the copy")
+	tracker.Advance(store.At(0, 5))
+	require.True(t, tracker.Confirm(store.At(0, 3), fresh.Seen(now)), "evidence about an older revision covers the copy")
 	later := now.Add(time.Second)
-	require.False(t, tracker.Confirm(6, fresh.Seen(later)))
+	require.False(t, tracker.Confirm(store.At(0, 6), fresh.Seen(later)))
 	require.Equal(t, now, tracker.Latest().At())
-	tracker.Advance(6)
+	tracker.Advance(store.At(0, 6))
 	require.Equal(t, later, tracker.Latest().At())
 }
 
@@ -41,14 +42,14 @@
 	start := time.Unix(1000, 0)
 	now := start
 	trackers := []*fresh.Tracker{fresh.New(0), fresh.New(0)}
-	trackers[0].Confirm(0, fresh.Seen(start))
+	trackers[0].Confirm(store.At(0, 0), fresh.Seen(start))
 	for i := range 100 {
 		from, to := trackers[i%2], trackers[1-i%2]
 		evidence := from.Latest()
 		age := evidence.Age(now)
 		now = now.Add(transit)
 		if evidence.CanRelay() {
-			to.Confirm(0, fresh.Relayed(now.Add(-age), evidence.Hops()))
+			to.Confirm(store.At(0, 0), fresh.Relayed(now.Add(-age), evidence.Hops()))
 		}
 	}
 	for _, tracker := range trackers {
@@ -67,6 +68,6 @@
 	now = now.Add(retry)
 	require.LessOrEqual(t, tracker.AskIn(now, limit, retry), time.Duration(0))
 	tracker.Asked(now, true)
-	tracker.Confirm(0, fresh.Seen(now))
+	tracker.Confirm(store.At(0, 0), fresh.Seen(now))
 	require.Equal(t, limit, tracker.AskIn(now, limit, retry))
 }
--- /dev/null
+++ b/pkg/mirror/hold.go
@@ -0,0 +1,303 @@
+package mirror
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lentilstand/lentilstand/pkg/store"
+	"github.com/lentilstand/lentilstand/pkg/table"
+)
+
+// How long the state holds on to what a store that recovered from a copy has lost, unless it is
+// written again. Copies are some seconds old. A table is held for good, since versions never go
+// back.
+const (
+	// operatorHold is for evacuations, removals and endpoints that are draining: what is undone
+	// too early sends requests where they may not go.
+	operatorHold = 60 * time.Second
+	// endpointHold is for endpoints that the copy lacks. Running ones register again.
+	endpointHold = 10 * time.Second
+)
+
+// hold tells why a record or a tombstone of an earlier era is still in use: the store shows an
+// older form of the key, or doesn't have the key.
+type hold struct {
+	// shown is what the store has, the zero pair if it doesn't have the key.
+	shown store.Pair
+	// until is the end of the hold, zero if it has none.
+	until time.Time
+}
+
+// isShown reports whether the store has the key.
+func (h *hold) isShown() bool { return h.shown.Revision() > 0 }
+
+// isNewWrite reports whether a pair was written after the recovery from the copy. Held is what
+// the state knew before, of an earlier era, that is not in the copy. A pair with a higher revision
+// isn't in the copy either. Of other pairs in the first snapshot of an era that can't be told.
+func isNewWrite(held store.Position, known *hold, pair store.Pair, firstRead bool) bool {
+	return pair.Revision() >= held.Revision() || !firstRead && (known == nil || pair.Revision() > known.shown.Revision())
+}
+
+// isReplacedBy reports whether what the store shows in a later era is the record's content, or a
+// later form of it.
+func (r record) isReplacedBy(next record, firstRead bool) bool {
+	if bytes.Equal(r.pair.Value(), next.pair.Value()) {
+		return true
+	}
+	isNew := isNewWrite(r.position(), r.held, next.pair, firstRead)
+	switch known := r.value.(type) {
+	case *table.Table:
+		shown, ok := next.value.(*table.Table)
+		return ok && shown.Version() >= known.Version()
+	case *table.Endpoint:
+		shown, ok := next.value.(*table.Endpoint)
+		if !ok {
+			return isNew
+		}
+		order := compareForms(shown, known)
+		return order > 0 || order == 0 && (isNew || shown.Draining())
+	default:
+		return true
+	}
+}
+
+// isReplacedBy reports whether the store shows a key in a later era because it was written after
+// its removal, not because the copy is from before that.
+func (t tombstone) isReplacedBy(next record, firstRead bool) bool {
+	isNew := isNewWrite(t.position, t.held, next.pair, firstRead)
+	switch value := next.value.(type) {
+	case *table.Endpoint:
+		last, ok := t.last.value.(*table.Endpoint)
+		if !ok {
+			return isNew
+		}
+		order := compareForms(value, last)
+		return order > 0 || order == 0 && isNew
+	case table.Evacuation, table.Member:
+		return isNew || next.pair.Revision() != t.last.pair.Revision()
+	default:
+		return true
+	}
+}
+
+// compareForms returns -1, 0 or 1 as a record of an endpoint is older than, as old as or newer
+// than another one.
+func compareForms(a, b *table.Endpoint) int {
+	return cmp.Or(a.Start().Compare(b.Start()), cmp.Compare(a.Sequence(), b.Sequence()))
+}
+
+// hold returns the hold of a record of which the store shows another form, or none if shown is
+// the zero pair.
+func (s *State) hold(known record, shown store.Pair) *hold {
+	if known.held != nil {
+		return &hold{shown: shown, until: known.held.until}
+	}
+	h := &hold{shown: shown, until: s.now.Add(operatorHold)}
+	switch value := known.value.(type) {
+	case *table.Table:
+		h.until = time.Time{}
+	case *table.Endpoint:
+		if !value.Draining() && !h.isShown() {
+			h.until = s.now.Add(endpointHold)
+		}
+	case table.Member:
+		h.until = s.now.Add(ExpiryGrace)
+	}
+	return h
+}
+
+// holdRemoval returns the hold of a removal though the store shows the key.
+func (s *State) holdRemoval(removed tombstone, shown store.Pair) *hold {
+	if removed.held != nil {
+		return &hold{shown: shown, until: removed.held.until}
+	}
+	return &hold{shown: shown, until: s.now.Add(operatorHold)}
+}
+
+// miss handles a key that a snapshot lacks. If the snapshot is the first of its era, the copy from
+// which the store recovered may lack it.
+func (s *State) miss(key string, firstRead bool, graceUntil time.Time) {
+	known := s.records[key]
+	switch {
+	case known.era == s.position.Era() || known.held != nil && known.held.isShown() && !firstRead:
+		s.remove(key, s.position.Revision(), graceUntil)
+	case known.held != nil && !firstRead:
+		return
+	case !mayBeHeld(known.value) || !known.expires.IsZero():
+		s.remove(key, s.position.Revision(), graceUntil)
+	default:
+		known.held = s.hold(known, store.Pair{})
+		s.records[key] = known
+	}
+}
+
+// mayBeHeld reports whether a value stays in use though the store has lost it. Demands are not:
+// entries write the next one anyway.
+func mayBeHeld(value any) bool {
+	switch value.(type) {
+	case *table.Table, *table.Endpoint, table.Evacuation, table.Member:
+		return true
+	default:
+		return false
+	}
+}
+
+// release replaces what was held long enough by what the store shows, and reports whether there
+// was any.
+func (s *State) release() bool {
+	released := false
+	isOver := func(h *hold) bool { return h != nil && !h.until.IsZero() && s.now.After(h.until) }
+	for key, rec := range s.records {
+		if isOver(rec.held) {
+			released = true
+			s.released[key] = rec.position()
+			delete(s.records, key)
+			s.show(rec.held.shown)
+		}
+	}
+	for key, removed := range s.tombstones {
+		if isOver(removed.held) {
+			released = true
+			s.released[key] = removed.position
+			delete(s.tombstones, key)
+			s.show(removed.held.shown)
+		}
+	}
+	return released
+}
+
+// show sets a key to what the store has, unless that is nothing.
+func (s *State) show(pair store.Pair) {
+	if pair.Revision() > 0 {
+		s.write(pair, false)
+	}
+}
+
+// Held is the last known state of a key, of an earlier era, that the store has lost or shows in an
+// older form. It is what peers have to know beside the content of the store.
+type Held struct {
+	pair     store.Pair
+	removed  bool
+	position store.Position
+	shown    uint64
+	left     time.Duration
+}
+
+// NewHeld returns the last known state of a pair's key, which was written or, if removed is set,
+// removed at a position. Shown is the revision at which the store has the key, zero if it doesn't
+// have it, and left the time for which it is still held, zero if that has no end.
+func NewHeld(pair store.Pair, removed bool, position store.Position, shown uint64, left time.Duration) Held {
+	return Held{pair: pair, removed: removed, position: position, shown: shown, left: left}
+}
+
+// Pair returns the pair, or the pair before the removal.
+func (h Held) Pair() store.Pair { return h.pair }
+
+// IsRemoved reports whether the key was removed.
+func (h Held) IsRemoved() bool { return h.removed }
+
+// Position returns the position at which the key was written or removed.
+func (h Held) Position() store.Position { return h.position }
+
+// Shown returns the revision at which the store has the key, zero if it doesn't have it.
+func (h Held) Shown() uint64 { return h.shown }
+
+// Left returns the time for which the state is still held, zero if that has no end.
+func (h Held) Left() time.Duration { return h.left }
+
+// Held returns what the state holds, sorted by key.
+func (s *State) Held() []Held {
+	var held []Held
+	left := func(h *hold) time.Duration {
+		if h.until.IsZero() {
+			return 0
+		}
+		return max(time.Millisecond, h.until.Sub(s.now))
+	}
+	for _, rec := range s.records {
+		if rec.held != nil {
+			held = append(held, NewHeld(rec.pair, false, rec.position(), rec.held.shown.Revision(), left(rec.held)))
+		}
+	}
+	for key, removed := range s.tombstones {
+		if removed.held != nil {
+			last := store.NewPair(key, removed.last.pair.Value(), removed.last.pair.Revision())
+			held = append(held, NewHeld(last, true, removed.position, removed.held.shown.Revision(), left(removed.held)))
+		}
+	}
+	slices.SortFunc(held, func(a, b Held) int { return strings.Compare(a.pair.Key(), b.pair.Key()) })
+	return held
+}
+
+// HeldFingerprint identifies what the state holds, zero if that is nothing. States with the same
+// fingerprint have nothing to tell each other beside the content of the store.
+func (s *State) HeldFingerprint() uint64 { return s.fingerprint }
+
+func (s *State) heldFingerprint() uint64 {
+	var text bytes.Buffer
+	for _, held := range s.Held() {
+		text.WriteString(held.pair.Key())
+		for _, number := range []uint64{held.position.Era(), held.position.Revision(), held.shown} {
+			text.WriteByte(0)
+			text.Write(binary.AppendUvarint(nil, number))
+		}
+	}
+	if text.Len() == 0 {
+		return 0
+	}
+	return xxhash.Sum64(text.Bytes())
+}
+
+// MergeHeld adopts what a peer in the same era holds, as far as the peer has seen the same form of a
+// key in the store and this state doesn't know a later one. It reports whether anything changed.
+func (s *State) MergeHeld(held []Held, now time.Time) bool {
+	s.now = now
+	changed := false
+	for _, item := range held {
+		changed = s.mergeHeld(item) || changed
+	}
+	if changed {
+		s.publish(s.current.confirmed)
+	}
+	return changed
+}
+
+func (s *State) mergeHeld(item Held) bool {
+	key := item.pair.Key()
+	shown, _ := s.Lookup(key)
+	rec, known := s.records[key]
+	removed, wasRemoved := s.tombstones[key]
+	switch {
+	case item.position.Era() >= s.position.Era() || shown.Revision() != item.shown:
+		return false
+	case !item.position.After(s.released[key]):
+		return false
+	case known && rec.held != nil && !item.position.After(rec.position()):
+		return false
+	case wasRemoved && (removed.position.Era() == s.position.Era() || !item.position.After(removed.position)):
+		return false
+	}
+	h := &hold{shown: shown}
+	if item.left > 0 {
+		h.until = s.now.Add(min(item.left, operatorHold))
+	}
+	value, err := s.decode(item.pair)
+	if err != nil {
+		value = nil
+	}
+	last := record{pair: item.pair, era: item.position.Era(), value: value}
+	if item.removed {
+		delete(s.records, key)
+		s.tombstones[key] = tombstone{position: item.position, at: s.now, last: last, held: h}
+		return true
+	}
+	last.held = h
+	s.adopt(key, last)
+	return true
+}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -3,9 +3,13 @@
 // without I/O of its own.
 //
 // Its input comes from full reads of the store, from a watch on the store, and from
-// peers. All input carries revisions of the store, and a key never goes back to an
-// older revision, whichever source it comes from. After each input, State publishes a
-// new immutable View, by which requests are routed.
+// peers. All input carries positions of the store, and a key never goes back to an
+// older revision of the same era, whichever source it comes from. After each input, State
+// publishes a new immutable View, by which requests are routed.
+//
+// A store that recovers from a copy begins a new era. What the copy shows may be older than
+// what the state knows, so the state holds on to the later form of a key until that is written
+// again, or for a while; see hold.go.
 package mirror
 
 import (
@@ -45,7 +49,7 @@
 	members   []table.Member
 	demands   map[string]*demand.Demand
 	ignored   map[string]string
-	revision  uint64
+	position  store.Position
 	confirmed time.Time
 }
 
@@ -79,23 +83,38 @@
 func (v *View) Ignored() map[string]string { return v.ignored }
 
 // Revision returns the revision of the store that the view reflects.
-func (v *View) Revision() uint64 { return v.revision }
+func (v *View) Revision() uint64 { return v.position.Revision() }
+
+// Position returns the position of the store that the view reflects.
+func (v *View) Position() store.Position { return v.position }
 
 // ConfirmedAt returns when a source last confirmed that the view was current.
 func (v *View) ConfirmedAt() time.Time { return v.confirmed }
 
 // record is a pair with its decoded value, which is nil if the pair can't be decoded.
 type record struct {
-	pair  store.Pair
+	pair store.Pair
+	// era is that of the pair's revision.
+	era   uint64
 	value any
 	// expires is the end of the grace period of a removed key, zero for other keys.
 	expires time.Time
+	// held is set if the pair is of an earlier era than the state and not written again yet.
+	held *hold
 }
 
+// position returns the position at which the pair was written.
+func (r record) position() store.Position { return store.At(r.era, r.pair.Revision()) }
+
 // tombstone records the removal of a key.
 type tombstone struct {
-	revision uint64
+	position store.Position
 	at       time.Time
+	// last is the record that was removed, if it was known.
+	last record
+	// held is set if the removal is of an earlier era than the state and the store shows the
+	// key.
+	held *hold
 }
 
 // Finding is a pair that can't be decoded.
@@ -117,12 +136,17 @@
 	records    map[string]record
 	tombstones map[string]tombstone
 	table      *table.Table
-	revision   uint64
-	// compacted is the newest revision up to which some removals may be missing from
-	// tombstones.
+	position   store.Position
+	// compacted is the newest revision of the era up to which some removals may be missing
+	// from tombstones.
 	compacted uint64
-	current   *View
-	findings  []Finding
+	// released holds the positions of what the state has let go of in the latest era, by key, so that
+	// a peer can't make it hold on to that again.
+	released map[string]store.Position
+	// fingerprint identifies what the state holds, zero if that is nothing.
+	fingerprint uint64
+	current     *View
+	findings    []Finding
 	// reserved holds addresses that no endpoint has, and dataCentres the names of the data
 	// centres, empty if they aren't known.
 	reserved    map[netip.AddrPort]bool
@@ -133,7 +157,9 @@
 
 // New returns an empty state.
 func New(decode Decoder) *State {
-	s := &State{decode: decode, records: make(map[string]record), tombstones: make(map[string]tombstone)}
+	s := &State{
+		decode: decode, records: make(map[string]record), tombstones: make(map[string]tombstone), released: make(map[string]store.Position),
+	}
 	s.publish(time.Time{})
 	return s
 }
@@ -153,8 +179,11 @@
 // View returns the current view.
 func (s *State) View() *View { return s.current }
 
-// Revision returns the newest revision of the store that the state has received.
-func (s *State) Revision() uint64 { return s.revision }
+// Position returns the latest position of the store that the state has received.
+func (s *State) Position() store.Position { return s.position }
+
+// Revision returns the newest revision of the store that the state has received in the latest era.
+func (s *State) Revision() uint64 { return s.position.Revision() }
 
 // DrainFindings returns the findings since its last call.
 func (s *State) DrainFindings() []Finding {
@@ -163,40 +192,52 @@
 	return findings
 }
 
-// Pairs returns all pairs, sorted by key, as input for a peer. It leaves out keys that
-// are in their grace period.
+// Pairs returns the pairs that the store has, sorted by key, as input for a peer. It leaves
+// out keys that are in their grace period.
 func (s *State) Pairs() []store.Pair {
 	pairs := make([]store.Pair, 0, len(s.records))
-	for _, rec := range s.records {
-		if rec.expires.IsZero() {
-			pairs = append(pairs, rec.pair)
+	for key := range s.records {
+		if pair, ok := s.Lookup(key); ok {
+			pairs = append(pairs, pair)
+		}
+	}
+	for _, removed := range s.tombstones {
+		if removed.held != nil {
+			pairs = append(pairs, removed.held.shown)
 		}
 	}
 	slices.SortFunc(pairs, func(a, b store.Pair) int { return strings.Compare(a.Key(), b.Key()) })
 	return pairs
 }
 
-// Lookup returns the pair of a key, unless the key is unknown or in its grace period.
+// Lookup returns the pair that the store has for a key, unless the key is unknown or in its
+// grace period.
 func (s *State) Lookup(key string) (store.Pair, bool) {
+	if removed := s.tombstones[key]; removed.held != nil {
+		return removed.held.shown, true
+	}
 	rec, ok := s.records[key]
+	if rec.held != nil {
+		return rec.held.shown, rec.held.isShown()
+	}
 	return rec.pair, ok && rec.expires.IsZero()
 }
 
-// ChangesSince returns the changes after a revision, as input for a peer. It returns
-// false if the state may no longer know all of them.
+// ChangesSince returns the changes after a revision of the latest era, as input for a peer. It
+// returns false if the state may no longer know all of them.
 func (s *State) ChangesSince(revision uint64) ([]store.Change, bool) {
 	if revision < s.compacted || revision == 0 {
 		return nil, false
 	}
 	var changes []store.Change
-	for _, rec := range s.records {
-		if rec.pair.Revision() > revision && rec.expires.IsZero() {
-			changes = append(changes, store.Written(rec.pair))
+	for _, pair := range s.Pairs() {
+		if pair.Revision() > revision {
+			changes = append(changes, store.Written(pair))
 		}
 	}
 	for key, removed := range s.tombstones {
-		if removed.revision > revision {
-			changes = append(changes, store.Removed(key, removed.revision))
+		if removed.held == nil && removed.position.After(store.At(s.position.Era(), revision)) {
+			changes = append(changes, store.Removed(key, removed.position.Revision()))
 		}
 	}
 	return changes, true
@@ -205,47 +246,58 @@
 // Replace sets the state to a full read of the store. Keys that are missing from the
 // snapshot are removed, but members and endpoints that aren't draining stay until
 // graceUntil, which is ExpiryGrace after the store has returned, or in the past if it was
-// reachable all the time. Replace returns false and ignores a snapshot that is older than
-// the state.
+// reachable all the time. After the first snapshot of an era the state holds on to what the
+// store has lost. Replace returns false and ignores a snapshot that is older than the state.
 func (s *State) Replace(snapshot store.Snapshot, now, graceUntil time.Time) bool {
-	if snapshot.Revision() < s.revision {
+	position := snapshot.Position()
+	if s.position.After(position) {
 		return false
 	}
 	s.now = now
+	newEra := position.Era() > s.position.Era()
+	if newEra {
+		s.compacted = 0
+		clear(s.released)
+	}
+	s.position = position
 	present := make(map[string]bool, len(snapshot.Pairs()))
 	for _, pair := range snapshot.Pairs() {
 		present[pair.Key()] = true
-		s.write(pair)
+		s.write(pair, newEra)
 	}
 	for key, rec := range s.records {
-		if present[key] || rec.pair.Revision() > snapshot.Revision() {
-			continue
+		if !present[key] && !rec.position().After(position) {
+			s.miss(key, newEra, graceUntil)
+		}
+	}
+	for key, removed := range s.tombstones {
+		if removed.held != nil && !present[key] {
+			removed.held = nil
+			s.tombstones[key] = removed
 		}
-		s.remove(key, snapshot.Revision(), now, graceUntil)
 	}
-	s.revision = snapshot.Revision()
 	// Keys that were added and removed again before the read left no tombstone.
-	s.compacted = max(s.compacted, snapshot.Revision())
+	s.compacted = max(s.compacted, position.Revision())
 	s.publish(now)
 	return true
 }
 
-// Apply applies the changes up to revision. Removed members and endpoints that aren't
-// draining stay until graceUntil, as in Replace.
+// Apply applies the changes up to revision, in the latest era. Removed members and endpoints
+// that aren't draining stay until graceUntil, as in Replace.
 func (s *State) Apply(changes []store.Change, revision uint64, now, graceUntil time.Time) {
 	s.now = now
 	for _, change := range changes {
 		if change.IsRemoved() {
-			s.remove(change.Pair().Key(), change.Pair().Revision(), now, graceUntil)
+			s.remove(change.Pair().Key(), change.Pair().Revision(), graceUntil)
 		} else {
-			s.write(change.Pair())
+			s.write(change.Pair(), false)
 		}
 	}
-	if s.revision == 0 {
+	if s.position.Revision() == 0 {
 		// Removals before these changes are unknown.
 		s.compacted = max(s.compacted, revision)
 	}
-	s.revision = max(s.revision, revision)
+	s.position = store.At(s.position.Era(), max(s.position.Revision(), revision))
 	s.publish(now)
 }
 
@@ -256,11 +308,11 @@
 	s.current = &confirmed
 }
 
-// Expire removes the records whose grace period has ended, and reports whether there were
-// any. It also removes old tombstones.
+// Expire removes the records whose grace period has ended, lets go of what was held long
+// enough, and reports whether there was any of these. It also removes old tombstones.
 func (s *State) Expire(now time.Time) bool {
 	s.now = now
-	expired := false
+	expired := s.release()
 	for key, rec := range s.records {
 		if !rec.expires.IsZero() && now.After(rec.expires) {
 			delete(s.records, key)
@@ -268,8 +320,10 @@
 		}
 	}
 	for key, removed := range s.tombstones {
-		if now.Sub(removed.at) > tombstoneRetention {
-			s.compacted = max(s.compacted, removed.revision)
+		if removed.held == nil && now.Sub(removed.at) > tombstoneRetention {
+			if removed.position.Era() == s.position.Era() {
+				s.compacted = max(s.compacted, removed.position.Revision())
+			}
 			delete(s.tombstones, key)
 		}
 	}
@@ -279,15 +333,17 @@
 	return expired
 }
 
-// write sets a key, unless the state has the same or a newer revision of it, or knows of
-// its removal at the same or a newer revision.
-func (s *State) write(pair store.Pair) {
-	key := pair.Key()
+// write sets a key to what the store shows in the latest era, unless the state has the same or a
+// newer revision of it, or knows of its removal at the same or a newer revision. FirstRead is set
+// for the first snapshot of an era.
+func (s *State) write(pair store.Pair, firstRead bool) {
+	key, position := pair.Key(), store.At(s.position.Era(), pair.Revision())
 	known, ok := s.records[key]
-	if ok && known.expires.IsZero() && known.pair.Revision() >= pair.Revision() {
+	if ok && known.expires.IsZero() && !position.After(known.position()) {
 		return
 	}
-	if s.tombstones[key].revision >= pair.Revision() {
+	removed, wasRemoved := s.tombstones[key]
+	if wasRemoved && !position.After(removed.position) {
 		return
 	}
 	value, err := s.decode(pair)
@@ -295,27 +351,50 @@
 		s.findings = append(s.findings, Finding{key: key, err: err})
 		value = nil
 	}
-	if newer, isTable := value.(*table.Table); isTable && (s.table == nil || newer.Version() > s.table.Version()) {
-		s.table = newer
+	next := record{pair: pair, era: position.Era(), value: value}
+	switch {
+	case ok && known.era < position.Era() && !known.isReplacedBy(next, firstRead):
+		known.held = s.hold(known, pair)
+		known.expires = time.Time{}
+		s.records[key] = known
+		return
+	case wasRemoved && removed.position.Era() < position.Era() && !removed.isReplacedBy(next, firstRead):
+		removed.held = s.holdRemoval(removed, pair)
+		s.tombstones[key] = removed
+		return
+	}
+	s.adopt(key, next)
+}
+
+// adopt makes a record the one of its key.
+func (s *State) adopt(key string, next record) {
+	if shown, isTable := next.value.(*table.Table); isTable && (s.table == nil || shown.Version() > s.table.Version()) {
+		s.table = shown
 	}
 	delete(s.tombstones, key)
-	s.records[key] = record{pair: pair, value: value}
+	s.records[key] = next
 }
 
-// remove removes a key as of a revision, unless the state has a newer revision of it.
-func (s *State) remove(key string, revision uint64, now, graceUntil time.Time) {
+// remove removes a key as of a revision of the latest era, unless the state has a newer revision
+// of it.
+func (s *State) remove(key string, revision uint64, graceUntil time.Time) {
+	position := store.At(s.position.Era(), revision)
 	known, ok := s.records[key]
-	if ok && known.pair.Revision() > revision {
+	if ok && known.position().After(position) {
 		return
 	}
-	if s.tombstones[key].revision < revision {
-		s.tombstones[key] = tombstone{revision: revision, at: now}
+	if removed, wasRemoved := s.tombstones[key]; !wasRemoved || position.After(removed.position) {
+		last := removed.last
+		if ok {
+			last = known
+		}
+		s.tombstones[key] = tombstone{position: position, at: s.now, last: last}
 	}
 	if !ok || !known.expires.IsZero() {
 		return
 	}
-	if now.Before(graceUntil) && mayReregister(known.value) {
-		known.expires = graceUntil
+	if s.now.Before(graceUntil) && mayReregister(known.value) {
+		known.expires, known.held = graceUntil, nil
 		s.records[key] = known
 		return
 	}
@@ -396,7 +475,7 @@
 	if !endpoint.Start().Equal(rival.Start()) {
 		return endpoint.Start().After(rival.Start())
 	}
-	return rec.pair.Revision() > other.pair.Revision()
+	return rec.position().After(other.position())
 }
 
 // isPlausible reports whether an endpoint's start isn't in the future and its data centre is
@@ -413,7 +492,7 @@
 		endpoints: make(map[string][]*table.Endpoint),
 		evacuated: make(map[string]bool),
 		demands:   make(map[string]*demand.Demand),
-		revision:  s.revision,
+		position:  s.position,
 		confirmed: confirmed,
 	}
 	selected, ignored := s.selectEndpoints()
@@ -434,4 +513,5 @@
 		}
 	}
 	s.current = view
+	s.fingerprint = s.heldFingerprint()
 }
--- a/pkg/store/change.go
+++ b/pkg/store/change.go
@@ -26,7 +26,7 @@
 // IsRemoved reports whether the key was removed.
 func (c Change) IsRemoved() bool { return c.removed }
 
-// Apply returns a snapshot at revision with changes applied to s. It ignores a
+// Apply returns a snapshot at revision, in the era of s, with changes applied to s. It ignores a
 // change that is older than the pair of its key. It doesn't know the revisions of removed
 // keys, so an older write that follows a removal is applied.
 func (s Snapshot) Apply(changes []Change, revision uint64) Snapshot {
@@ -46,5 +46,5 @@
 		}
 	}
 	sorted := slices.SortedFunc(maps.Values(pairs), func(a, b Pair) int { return strings.Compare(a.key, b.key) })
-	return NewSnapshot(sorted, revision)
+	return SnapshotAt(sorted, At(s.position.era, revision))
 }
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -4,6 +4,7 @@
 package store
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/rotisserie/eris"
@@ -55,22 +56,48 @@
 	return p
 }
 
-// Snapshot is the state of all keys with certain prefixes at one revision.
+// Position is a state of the service: a revision in an era. The service begins a new era each
+// time it recovers from a copy, and gives out the revisions after the copy again, so that
+// revisions of different eras say nothing about which state is newer. A service without eras is
+// always in era zero. The zero value is before every state.
+type Position struct{ era, revision uint64 }
+
+// At returns the position of a revision in an era.
+func At(era, revision uint64) Position { return Position{era: era, revision: revision} }
+
+// Era returns the era.
+func (p Position) Era() uint64 { return p.era }
+
+// Revision returns the revision.
+func (p Position) Revision() uint64 { return p.revision }
+
+// Compare returns -1, 0 or 1 as p is before, equal to or after q.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.era, q.era), cmp.Compare(p.revision, q.revision))
+}
+
+// After reports whether p is after q.
+func (p Position) After(q Position) bool { return p.Compare(q) > 0 }
+
+// Snapshot is the state of all keys with certain prefixes at one position.
 type Snapshot struct {
 	pairs     []Pair
-	revision  uint64
+	position  Position
 	unchanged bool
 }
 
-// NewSnapshot returns a snapshot at revision. The pairs must be sorted by key.
-func NewSnapshot(pairs []Pair, revision uint64) Snapshot {
-	return Snapshot{pairs: pairs, revision: revision}
+// NewSnapshot returns a snapshot at revision in era zero. The pairs must be sorted by key.
+func NewSnapshot(pairs []Pair, revision uint64) Snapshot { return SnapshotAt(pairs, At(0, revision)) }
+
+// SnapshotAt returns a snapshot at a position. The pairs must be sorted by key.
+func SnapshotAt(pairs []Pair, position Position) Snapshot {
+	return Snapshot{pairs: pairs, position: position}
 }
 
 // Unchanged returns the result of a watch under whose prefixes nothing has changed
 // up to revision. It has no pairs.
 func Unchanged(revision uint64) Snapshot {
-	return Snapshot{revision: revision, unchanged: true}
+	return Snapshot{position: At(0, revision), unchanged: true}
 }
 
 // IsUnchanged reports whether the snapshot is a result of Unchanged. The pairs are then
@@ -81,7 +108,10 @@
 func (s Snapshot) Pairs() []Pair { return s.pairs }
 
 // Revision returns the revision of the service at which the snapshot was taken.
-func (s Snapshot) Revision() uint64 { return s.revision }
+func (s Snapshot) Revision() uint64 { return s.position.revision }
+
+// Position returns the position of the service at which the snapshot was taken.
+func (s Snapshot) Position() Position { return s.position }
 
 // Get returns the pair of the given key.
 func (s Snapshot) Get(key string) (Pair, bool) {
--- a/pkg/table/endpoint.go
+++ b/pkg/table/endpoint.go
@@ -23,6 +23,8 @@
 	ColdFor time.Duration
 	// Start is the time at which it started, zero if unknown.
 	Start time.Time
+	// Sequence rises with each record that the endpoint writes after its start.
+	Sequence uint64
 }
 
 // Endpoint is a back end of a service.
@@ -55,6 +57,10 @@
 // Start returns the time at which the endpoint started, zero if unknown.
 func (e *Endpoint) Start() time.Time { return e.spec.Start }
 
+// Sequence returns the number of the endpoint's record, which rises with each record that it writes
+// after its start.
+func (e *Endpoint) Sequence() uint64 { return e.spec.Sequence }
+
 // Incarnation returns an identifier of the endpoint that differs after each restart.
 func (e *Endpoint) Incarnation() string {
 	return e.spec.ID + "@" + e.spec.Start.UTC().Format(time.RFC3339Nano)
