internal/edge: an entry registers anew in each era of the store

Cause: leases and revisions were taken for the entry's own in any era, and 'seen' was judged by a view that was of an earlier era than the store.

Change: lease, value and revision belong to an era; in a new one the entry takes a new lease and value at its next renewal (1 s), reads its key while its view is of another era, and doesn't revoke a lease of an earlier era.

Left: a renewal that is on its way as the store recovers may renew another client's lease once, or a revocation end it; that client registers again at its next renewal.

--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -38,6 +38,9 @@
 // only on condition of its last revision, and always with the lease that the entry renews: a
 // late write either finds the key as it should be, or its lease has ended. That a lease is
 // renewed doesn't show that the key is there: the entry looks for it in its view.
+//
+// A store that recovers from a copy gives out leases and revisions again. The entry therefore begins
+// anew in each era, with a lease and a value of that era, and without a revision of another one.
 type registration struct {
 	entry *Entry
 	// writes counts the writes of the key by result.
@@ -50,7 +53,9 @@
 	value []byte
 	// written is the revision at which the store had the value, zero if that isn't known.
 	written uint64
-	ended   bool
+	// era is that of the lease and of written.
+	era   uint64
+	ended bool
 }
 
 func newRegistration(e *Entry, metrics *meter.Meter) *registration {
@@ -84,6 +89,12 @@
 		return nil
 	}
 	e := r.entry
+	if era := e.store.Era(); era != r.era {
+		if r.lease != 0 {
+			event.MemberLost.Log(e.logger, zap.Uint64("lease", r.lease), zap.String("reason", "the store has begun a new era"), zap.Uint64("era", era))
+		}
+		r.lease, r.written, r.era = 0, 0, era
+	}
 	if r.lease != 0 {
 		err := e.store.KeepAlive(ctx, r.lease)
 		if err != nil && !eris.Is(err, store.ErrLeaseExpired) {
@@ -104,9 +115,16 @@
 		_, r.value = platform.MemberPair(member, strconv.FormatUint(rand.Uint64(), 36))
 		r.lease, r.written = lease, 0
 	}
+	if e.store.Era() != r.era {
+		// A call of above has shown a new era.
+		return errNewEra
+	}
 	return r.write(ctx)
 }
 
+// errNewEra is returned if the store has begun a new era since the last renewal.
+var errNewEra = eris.New("the store has begun a new era")
+
 // key returns the entry's key.
 func (r *registration) key() string {
 	key, _ := platform.MemberPair(table.NewMember(r.entry.settings.Load().Name(), "", "", ""), "")
@@ -118,6 +136,12 @@
 func (r *registration) write(ctx context.Context) error {
 	key := r.key()
 	pair, found, position := r.entry.storeSyncer.lookup(key)
+	if position.Era() != r.era {
+		if r.written != 0 {
+			return nil
+		}
+		return r.writeAfterRead(ctx, key)
+	}
 	revision := position.Revision()
 	if found && bytes.Equal(pair.Value(), r.value) {
 		r.confirm(pair.Revision(), "seen")
@@ -138,17 +162,20 @@
 	written, err := r.entry.store.Put(ctx, key, r.value, expected, r.lease)
 	if eris.Is(err, store.ErrConflict) {
 		// The view is behind, or a write that got no answer has been carried out.
-		return r.writeAfterConflict(ctx, key)
+		return r.writeAfterRead(ctx, key)
 	}
 	return r.handleResult(written, err)
 }
 
-// writeAfterConflict reads the key, and writes it unless the store has the value. The caller
+// writeAfterRead reads the key, and writes it unless the store has the value. The caller
 // holds the lock.
-func (r *registration) writeAfterConflict(ctx context.Context, key string) error {
+func (r *registration) writeAfterRead(ctx context.Context, key string) error {
 	snapshot, err := r.entry.store.Read(ctx, key)
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
+	case snapshot.Position().Era() != r.era:
+		return errNewEra
 	}
 	pair, found := snapshot.Get(key)
 	if found && bytes.Equal(pair.Value(), r.value) {
@@ -165,6 +192,8 @@
 // handleResult handles the result of a write. The caller holds the lock.
 func (r *registration) handleResult(written uint64, err error) error {
 	switch {
+	case err == nil && r.entry.store.Era() != r.era:
+		return errNewEra
 	case err == nil:
 		r.confirm(written, "written")
 	case eris.Is(err, store.ErrLeaseExpired):
@@ -191,7 +220,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ended = true
-	if r.lease == 0 {
+	if r.lease == 0 || r.era != r.entry.store.Era() {
+		// A lease of an earlier era may be another client's by now.
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
