internal/edge, pkg/demand: entries write a demand again that the store has lost

Callers of a group that opened again after a recovery of the store waited for a balanced map: the stored demand for experts was gone, and an idle leader sends no other one.

A demand was also written on condition of a revision of an earlier era.

Change: as its view enters a new era an entry offers the demands of the view before, once, some of many entries; they are kept over a failed call. A write is left out while the view and the store are in different eras.

TestDemandLostInStoreRecoveryIsWrittenAgain fails without the offer (no demand within 10 s of the recovery) and passes with it.

--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -122,14 +122,40 @@
 	}
 }
 
+// reoffer offers the demands of a view once more, from before the store recovered from a copy that may
+// lack them. Of many entries, demandSenders do.
+func (d *demands) reoffer(view *mirror.View) {
+	if view.Table() == nil || rand.Float64()*float64(len(view.Members())) >= demandSenders {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	view.Table().Services(func(service *table.Service) {
+		stored := view.Demand(service.Name())
+		if stored == nil || service.Engine() == nil || !stored.Fits(service.Engine().Sets, service.Engine().Experts) {
+			return
+		}
+		if d.writers[service.Name()] == nil {
+			d.writers[service.Name()] = &demand.Writer{}
+		}
+		d.writers[service.Name()].Restore(stored)
+	})
+}
+
 // write writes a demand to the store, on condition of the one in the view. A write that is carried
 // out late therefore doesn't replace a newer demand.
 func (d *demands) write(ctx context.Context, stored demand.Stored) {
 	key, value := platform.DemandPair(stored)
 	expected := uint64(0)
-	if pair, found, _ := d.entry.storeSyncer.lookup(key); found {
+	pair, found, position := d.entry.storeSyncer.lookup(key)
+	if found {
 		expected = pair.Revision()
 	}
+	if position.Era() != d.entry.store.Era() {
+		// The revision may have been given out again.
+		d.handled.Add(1, "not_written")
+		return
+	}
 	_, err := d.entry.store.Put(ctx, key, value, expected, 0)
 	if err == nil {
 		d.handled.Add(1, "written")
--- a/internal/edge/demand_test.go
+++ b/internal/edge/demand_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilstand/lentilstand/internal/dgram"
+	"github.com/lentilstand/lentilstand/internal/stand"
 	"github.com/lentilstand/lentilstand/internal/wirepb"
 	"github.com/lentilstand/lentilstand/platform/fakes"
 )
@@ -154,3 +155,18 @@
 	time.Sleep(delay + time.Second)
 	require.Equal(t, []byte{255, 255, 0}, s.storedWeights())
 }
+
+// TestDemandLostInStoreRecoveryIsWrittenAgain guards against a demand that the store has lost and no
+// leader sends again, since its group is idle.
+func TestDemandLostInStoreRecoveryIsWrittenAgain(t *testing.T) {
+	t.Parallel()
+	s, agent, _ := startDemandSite(t)
+	backup := s.kv.Backup()
+	s.sendTo(0, agent, demandMessage(255, 0, 7))
+	require.Eventually(t, func() bool { return s.storedWeights() != nil }, 10*time.Second, 20*time.Millisecond)
+	s.advance()
+	s.recoverStore(backup, stand.KeepLeases)
+	require.Nil(t, s.storedWeights())
+	require.Eventually(t, func() bool { return s.storedWeights() != nil }, 10*time.Second, 20*time.Millisecond)
+	require.Equal(t, []byte{255, 0, 7}, s.storedWeights())
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -229,6 +229,7 @@
 func (s *storeSyncer) noteEra(era uint64, now time.Time) {
 	if known := s.state.Position(); era > known.Era() && known != (store.Position{}) {
 		s.expiryGraceUntil = now.Add(mirror.ExpiryGrace)
+		s.entry.demands.reoffer(s.state.View())
 	}
 }
 
--- a/pkg/demand/demand_test.go
+++ b/pkg/demand/demand_test.go
@@ -145,3 +145,17 @@
 		}
 	})
 }
+
+// TestRestoredDemandOutlastsAFailedCall guards against a demand that the store has lost and that is
+// dropped since the store was away just before.
+func TestRestoredDemandOutlastsAFailedCall(t *testing.T) {
+	now := time.Unix(1000, 0)
+	lost, err := demand.New(1, 3, []byte{255, 0, 7})
+	require.NoError(t, err)
+	var writer demand.Writer
+	writer.Restore(lost)
+	require.Nil(t, writer.Next(nil, now, now), "the store has just failed")
+	require.Equal(t, lost, writer.Next(nil, now, now.Add(5*time.Second)))
+	writer.Restore(lost)
+	require.Nil(t, writer.Next(lost, now, now.Add(20*time.Second)), "the store has it")
+}
--- a/pkg/demand/writer.go
+++ b/pkg/demand/writer.go
@@ -16,6 +16,8 @@
 	pending *Demand
 	// pendingChange is the distance from which pending differs from another demand.
 	pendingChange float64
+	// restoring is set if pending is to be written even if calls to the store have failed lately.
+	restoring bool
 	// stored is the demand in the store, and changedAt when it was last seen to change or
 	// this process wrote it.
 	stored    *Demand
@@ -24,13 +26,21 @@
 
 // Offer makes d, for which so many choices of experts were counted, the demand to write.
 func (w *Writer) Offer(d *Demand, choices float64) {
-	w.pending, w.pendingChange = d, d.MinChange(choices)
+	w.pending, w.pendingChange, w.restoring = d, d.MinChange(choices), false
+}
+
+// Restore makes d the demand to write unless another one was offered. The store had it, and may have
+// lost it, so that no other one may follow.
+func (w *Writer) Restore(d *Demand) {
+	if w.pending == nil {
+		w.pending, w.pendingChange, w.restoring = d, 0, true
+	}
 }
 
 // Next returns the demand that is to be written now, nil if there is none. Stored is the
 // demand that the store has, and failedAt when a call to the store last failed. A demand is
-// dropped if the store has about the same, or has failed lately: the next one follows in
-// time.
+// dropped if the store has about the same, or has failed lately unless it is restored: the next
+// one follows in time.
 func (w *Writer) Next(stored *Demand, failedAt, now time.Time) *Demand {
 	if w.stored != stored {
 		w.stored, w.changedAt = stored, now
@@ -38,11 +48,12 @@
 	if w.pending == nil {
 		return nil
 	}
-	if now.Sub(failedAt) < failurePause || Distance(w.pending, stored) <= w.pendingChange {
+	hasFailed := now.Sub(failedAt) < failurePause
+	if hasFailed && !w.restoring || Distance(w.pending, stored) <= w.pendingChange {
 		w.pending = nil
 		return nil
 	}
-	if now.Sub(w.changedAt) < writeInterval {
+	if hasFailed || now.Sub(w.changedAt) < writeInterval {
 		return nil
 	}
 	next := w.pending
