pkg/mirror: a late answer changes nothing

An answer to a watch or an ask that arrives after a peer's later state was applied as if it were new. An endpoint that was added and removed in between came back into the view, without a later change that would have removed it again; of a key that the state holds beside the store, an older form took the place of the newer one that the store shows, or a removal that of a later write. Peers were then told of these as the store's content.

Cause: Apply judged each change by the key's record or removal alone. A full read leaves no removal of a key that it never had, and a held key's own revision is of an earlier era, so that each change looked newer. The state reflects all changes up to its revision, so Apply now ignores these.

The mutant that accepts old pairs did so through Apply at the state's revision, which now does nothing; it does the same through Replace, and is found before and after the change.

--- /dev/null
+++ b/pkg/mirror/hold_test.go
@@ -0,0 +1,66 @@
+package mirror_test
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lentilstand/lentilstand/pkg/mirror"
+	"github.com/lentilstand/lentilstand/pkg/store"
+	"github.com/lentilstand/lentilstand/pkg/table"
+)
+
+// decodeForm decodes pairs like decode, but the value of "endpoint/ID" is a start time in seconds, a
+// sequence and a state.
+func decodeForm(pair store.Pair) (any, error) {
+	id, isEndpoint := strings.CutPrefix(pair.Key(), "endpoint/")
+	if !isEndpoint {
+		return decode(pair)
+	}
+	var spec form
+	if _, err := fmt.Sscan(string(pair.Value()), &spec.start, &spec.sequence, &spec.state); err != nil {
+		return nil, eris.Wrap(err, "malformed endpoint")
+	}
+	return table.NewEndpoint(table.EndpointSpec{
+		ID: id, Service: "s", DataCentre: "a", Address: netip.MustParseAddrPort("10.0.0." + id + ":80"),
+		Start: time.Unix(int64(spec.start), 0), Sequence: spec.sequence, Draining: spec.state == "draining",
+	}), nil
+}
+
+// form is a record of an endpoint.
+type form struct {
+	start, sequence uint64
+	state           string
+}
+
+// read has a state take a full read of the store.
+func read(s *mirror.State, era, revision uint64, now time.Time, pairs ...store.Pair) {
+	s.Replace(store.SnapshotAt(pairs, store.At(era, revision)), now, now)
+}
+
+// TestLateAnswerChangesNothing guards against an answer to a watch that is older than the state, which
+// brings back what was removed since or an older form of what the store shows.
+func TestLateAnswerChangesNothing(t *testing.T) {
+	added := store.Written(pair("endpoint/1", "1 1 ready", 15))
+	t.Run("removed key", func(t *testing.T) {
+		s := mirror.New(decodeForm)
+		read(s, 1, 20, start)
+		s.Apply([]store.Change{added}, 15, start, start)
+		require.Empty(t, ids(s.View()))
+	})
+	t.Run("held key", func(t *testing.T) {
+		s := mirror.New(decodeForm)
+		read(s, 1, 40, start, pair("endpoint/1", "1 5 draining", 40))
+		newer := pair("endpoint/1", "1 2 ready", 18)
+		read(s, 2, 20, start, newer)
+		s.Apply([]store.Change{added}, 15, start, start)
+		require.Equal(t, []store.Pair{newer}, s.Pairs())
+		s.Apply([]store.Change{store.Removed("endpoint/1", 16)}, 16, start, start)
+		require.Equal(t, []store.Pair{newer}, s.Pairs())
+	})
+}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -283,14 +283,17 @@
 }
 
 // Apply applies the changes up to revision, in the latest era. Removed members and endpoints
-// that aren't draining stay until graceUntil, as in Replace.
+// that aren't draining stay until graceUntil, as in Replace. It ignores changes up to the state's
+// revision, which a late answer may bring.
 func (s *State) Apply(changes []store.Change, revision uint64, now, graceUntil time.Time) {
 	s.now = now
 	for _, change := range changes {
-		if change.IsRemoved() {
-			s.remove(change.Pair().Key(), change.Pair().Revision(), graceUntil)
-		} else {
-			s.write(change.Pair(), false)
+		switch pair := change.Pair(); {
+		case pair.Revision() <= s.position.Revision():
+		case change.IsRemoved():
+			s.remove(pair.Key(), pair.Revision(), graceUntil)
+		default:
+			s.write(pair, false)
 		}
 	}
 	if s.position.Revision() == 0 {
--- a/pkg/mirror/model_test.go
+++ b/pkg/mirror/model_test.go
@@ -256,12 +256,14 @@
 	if snapshot.Revision() >= m.Revision() {
 		return m.State.Replace(snapshot, now, graceUntil)
 	}
-	var changes []store.Change
+	pairs := make(map[string]store.Pair)
+	for _, p := range m.Pairs() {
+		pairs[p.Key()] = p
+	}
 	for _, p := range snapshot.Pairs() {
-		changes = append(changes, store.Written(pair(p.Key(), string(p.Value()), m.Revision())))
+		pairs[p.Key()] = pair(p.Key(), string(p.Value()), m.Revision())
 	}
-	m.Apply(changes, m.Revision(), now, graceUntil)
-	return true
+	return m.State.Replace(store.NewSnapshot(slices.Collect(maps.Values(pairs)), m.Revision()), now, graceUntil)
 }
 
 // ignoresRemovals ignores removals from a watch or a peer.
