pkg/mirror: a copy doesn't restore an endpoint that was removed

If an endpoint was removed less than ExpiryGrace before a recovery, and the copy showed an older form of it, the endpoint was in the view for a minute: its grace period was replaced by a hold of its record. A second recovery soon after the first one, which begins a grace period, is enough.

Cause: the record of a key in its grace period was taken for its last known state, which is the removal. Such a key is now judged by its removal; the record stays until the grace period ends. Pairs lists the key once though it then has a record and a held removal.

TestCopyDoesNotRestoreExpiredEndpoint fails on the parent commit (the endpoint is still in the view after the grace period) and passes with the change.

--- a/pkg/mirror/hold_test.go
+++ b/pkg/mirror/hold_test.go
@@ -64,3 +64,18 @@
 		require.Equal(t, []store.Pair{newer}, s.Pairs())
 	})
 }
+
+// TestCopyDoesNotRestoreExpiredEndpoint guards against an endpoint that was removed shortly before the
+// recovery, and is in use for the whole hold since the copy shows an older form of it.
+func TestCopyDoesNotRestoreExpiredEndpoint(t *testing.T) {
+	s := mirror.New(decodeForm)
+	read(s, 1, 30, start, pair("endpoint/1", "1 5 ready", 30))
+	graceUntil := start.Add(mirror.ExpiryGrace)
+	s.Replace(store.SnapshotAt(nil, store.At(1, 40)), start, graceUntil)
+	require.Equal(t, []string{"1"}, ids(s.View()), "in its grace period")
+	shown := pair("endpoint/1", "1 4 ready", 20)
+	read(s, 2, 20, start, shown)
+	require.Equal(t, []store.Pair{shown}, s.Pairs())
+	s.Expire(graceUntil.Add(time.Millisecond))
+	require.Empty(t, ids(s.View()))
+}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -197,7 +197,7 @@
 func (s *State) Pairs() []store.Pair {
 	pairs := make([]store.Pair, 0, len(s.records))
 	for key := range s.records {
-		if pair, ok := s.Lookup(key); ok {
+		if pair, ok := s.Lookup(key); ok && s.tombstones[key].held == nil {
 			pairs = append(pairs, pair)
 		}
 	}
@@ -356,9 +356,8 @@
 	}
 	next := record{pair: pair, era: position.Era(), value: value}
 	switch {
-	case ok && known.era < position.Era() && !known.isReplacedBy(next, firstRead):
+	case ok && known.expires.IsZero() && known.era < position.Era() && !known.isReplacedBy(next, firstRead):
 		known.held = s.hold(known, pair)
-		known.expires = time.Time{}
 		s.records[key] = known
 		return
 	case wasRemoved && removed.position.Era() < position.Era() && !removed.isReplacedBy(next, firstRead):
