pkg/mirror: held state of several processes is ordered by its form

After two recoveries, a process that started between them could make the others forget what they held. They sent requests to an endpoint whose draining or removal all of them had known, and told a process that started later of an older table.

Cause: of two processes' last known states of a key, the one with the later position won. What a process reads after a recovery has a position in the new era even if it is from the copy, and so goes before what the copy lacks, if the second copy lacks both. Tables are now ordered by version and endpoints by start and sequence, as they are when the store shows them; positions decide between equal forms. A removal goes before an equal form of the endpoint, since one that registers again writes a later one.

--- a/pkg/mirror/hold.go
+++ b/pkg/mirror/hold.go
@@ -273,25 +273,28 @@
 	shown, _ := s.Lookup(key)
 	rec, known := s.records[key]
 	removed, wasRemoved := s.tombstones[key]
+	value, err := s.decode(item.pair)
+	if err != nil {
+		value = nil
+	}
+	last := record{pair: item.pair, era: item.position.Era(), value: value}
+	told := lastState{value: value, removed: item.removed, position: item.position}
 	switch {
 	case item.position.Era() >= s.position.Era() || shown.Revision() != item.shown:
 		return false
 	case !item.position.After(s.released[key]):
 		return false
-	case known && rec.held != nil && !item.position.After(rec.position()):
+	case known && rec.held != nil && !told.isAfter(lastState{value: rec.value, position: rec.position()}):
+		return false
+	case wasRemoved && removed.position.Era() == s.position.Era():
 		return false
-	case wasRemoved && (removed.position.Era() == s.position.Era() || !item.position.After(removed.position)):
+	case wasRemoved && !told.isAfter(lastState{value: removed.last.value, removed: true, position: removed.position}):
 		return false
 	}
 	h := &hold{shown: shown}
 	if item.left > 0 {
 		h.until = s.now.Add(min(item.left, operatorHold))
 	}
-	value, err := s.decode(item.pair)
-	if err != nil {
-		value = nil
-	}
-	last := record{pair: item.pair, era: item.position.Era(), value: value}
 	if item.removed {
 		delete(s.records, key)
 		s.tombstones[key] = tombstone{position: item.position, at: s.now, last: last, held: h}
@@ -301,3 +304,31 @@
 	s.adopt(key, last)
 	return true
 }
+
+// lastState is a last known state of a key, for the order of those of several processes.
+type lastState struct {
+	value    any
+	removed  bool
+	position store.Position
+}
+
+// isAfter reports whether a state is later than another one of the same key. What a process has read
+// from a copy may have a later position than what was lost, so forms go before positions. A removed
+// endpoint that registers again has a later form.
+func (l lastState) isAfter(other lastState) bool {
+	order := 0
+	switch value := l.value.(type) {
+	case *table.Table:
+		if known, ok := other.value.(*table.Table); ok {
+			order = cmp.Compare(value.Version(), known.Version())
+		}
+	case *table.Endpoint:
+		if known, ok := other.value.(*table.Endpoint); ok {
+			order = compareForms(value, known)
+			if order == 0 && l.removed != other.removed {
+				return l.removed
+			}
+		}
+	}
+	return order > 0 || order == 0 && l.position.After(other.position)
+}
--- a/pkg/mirror/hold_test.go
+++ b/pkg/mirror/hold_test.go
@@ -38,6 +38,19 @@
 	state           string
 }
 
+// shownForms returns the endpoints in a view.
+func shownForms(view *mirror.View) map[string]form {
+	forms := make(map[string]form)
+	for _, endpoint := range view.Endpoints("s") {
+		shown := form{start: uint64(endpoint.Start().Unix()), sequence: endpoint.Sequence(), state: "ready"}
+		if endpoint.Draining() {
+			shown.state = "draining"
+		}
+		forms["endpoint/"+endpoint.ID()] = shown
+	}
+	return forms
+}
+
 // read has a state take a full read of the store.
 func read(s *mirror.State, era, revision uint64, now time.Time, pairs ...store.Pair) {
 	s.Replace(store.SnapshotAt(pairs, store.At(era, revision)), now, now)
@@ -79,3 +92,33 @@
 	s.Expire(graceUntil.Add(time.Millisecond))
 	require.Empty(t, ids(s.View()))
 }
+
+// TestPeerOfLaterEraDoesNotUndoLeaving guards against a peer that knows a key only from the copy of an
+// earlier recovery, and whose state takes the place of the later one that the copy lacked.
+func TestPeerOfLaterEraDoesNotUndoLeaving(t *testing.T) {
+	for name, lost := range map[string][]store.Pair{
+		"draining": {pair("endpoint/1", "1 5 draining", 40)},
+		"removed":  nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			knowing, started := mirror.New(decodeForm), mirror.New(decodeForm)
+			read(knowing, 1, 39, start, pair("endpoint/1", "1 4 ready", 20), pair("table", "9", 39))
+			read(knowing, 1, 40, start, append(lost, pair("table", "9", 39))...)
+			read(started, 2, 30, start, pair("endpoint/1", "1 4 ready", 20), pair("table", "7", 30))
+			for _, s := range []*mirror.State{knowing, started} {
+				read(s, 3, 10, start, pair("endpoint/1", "1 3 ready", 10), pair("table", "5", 9))
+			}
+			knowing.MergeHeld(started.Held(), start)
+			started.MergeHeld(knowing.Held(), start)
+			for _, s := range []*mirror.State{knowing, started} {
+				require.NotEqual(t, "ready", shownForms(s.View())["endpoint/1"].state)
+				require.Equal(t, uint64(9), s.View().Table().Version())
+			}
+			require.Equal(t, knowing.HeldFingerprint(), started.HeldFingerprint())
+			joined := mirror.New(decodeForm)
+			read(joined, 3, 10, start, knowing.Pairs()...)
+			joined.MergeHeld(knowing.Held(), start)
+			require.Equal(t, uint64(9), joined.View().Table().Version())
+		})
+	}
+}
