pkg/mirror: held state of a peer doesn't undo a write that this process has seen

An endpoint that registered again after a recovery was used by the processes that watched the store, and then by none for up to a minute, if one process first read the store after that write.

Cause: in the first read of an era a write of an equal form can't be told from the copy, so that process held on to the removal that it knew, and told the others. They had seen the write as a change of the new era, but kept nothing of what it had replaced, so that the removal looked like something new. What a write of a new era replaces is now kept like what was let go of at the end of a hold, and both are compared by form, as held states are. Tables need no such entry: their versions decide alike everywhere.

TestHeldStateDoesNotUndoNewWrite fails on the parent commit (the view is empty) and passes with the change. What remains: the late process itself holds on to the removal until its hold ends.

--- a/pkg/mirror/hold.go
+++ b/pkg/mirror/hold.go
@@ -156,7 +156,7 @@
 	for key, rec := range s.records {
 		if isOver(rec.held) {
 			released = true
-			s.released[key] = rec.position()
+			s.released[key] = rec.lastState()
 			delete(s.records, key)
 			s.show(rec.held.shown)
 		}
@@ -164,7 +164,7 @@
 	for key, removed := range s.tombstones {
 		if isOver(removed.held) {
 			released = true
-			s.released[key] = removed.position
+			s.released[key] = removed.lastState()
 			delete(s.tombstones, key)
 			s.show(removed.held.shown)
 		}
@@ -278,17 +278,18 @@
 		value = nil
 	}
 	last := record{pair: item.pair, era: item.position.Era(), value: value}
+	released, isReleased := s.released[key]
 	told := lastState{value: value, removed: item.removed, position: item.position}
 	switch {
 	case item.position.Era() >= s.position.Era() || shown.Revision() != item.shown:
 		return false
-	case !item.position.After(s.released[key]):
+	case isReleased && !told.isAfter(released):
 		return false
-	case known && rec.held != nil && !told.isAfter(lastState{value: rec.value, position: rec.position()}):
+	case known && rec.held != nil && !told.isAfter(rec.lastState()):
 		return false
 	case wasRemoved && removed.position.Era() == s.position.Era():
 		return false
-	case wasRemoved && !told.isAfter(lastState{value: removed.last.value, removed: true, position: removed.position}):
+	case wasRemoved && !told.isAfter(removed.lastState()):
 		return false
 	}
 	h := &hold{shown: shown}
--- a/pkg/mirror/hold_test.go
+++ b/pkg/mirror/hold_test.go
@@ -122,3 +122,20 @@
 		})
 	}
 }
+
+// TestHeldStateDoesNotUndoNewWrite guards against a peer that can't tell a write from the copy, and
+// whose state takes the place of the write that this process has seen.
+func TestHeldStateDoesNotUndoNewWrite(t *testing.T) {
+	last := pair("endpoint/1", "1 4 ready", 18)
+	again := pair("endpoint/1", "1 4 ready", 25)
+	watching, late := mirror.New(decodeForm), mirror.New(decodeForm)
+	for _, s := range []*mirror.State{watching, late} {
+		read(s, 1, 30, start, last)
+		read(s, 1, 40, start)
+	}
+	read(watching, 2, 20, start)
+	watching.Apply([]store.Change{store.Written(again)}, 25, start, start)
+	read(late, 2, 25, start, again)
+	watching.MergeHeld(late.Held(), start)
+	require.Equal(t, []string{"1"}, ids(watching.View()))
+}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -13,6 +13,7 @@
 package mirror
 
 import (
+	"bytes"
 	"maps"
 	"net/netip"
 	"slices"
@@ -106,6 +107,9 @@
 // position returns the position at which the pair was written.
 func (r record) position() store.Position { return store.At(r.era, r.pair.Revision()) }
 
+// lastState returns the record as the last known state of its key.
+func (r record) lastState() lastState { return lastState{value: r.value, position: r.position()} }
+
 // tombstone records the removal of a key.
 type tombstone struct {
 	position store.Position
@@ -117,6 +121,11 @@
 	held *hold
 }
 
+// lastState returns the removal as the last known state of its key.
+func (t tombstone) lastState() lastState {
+	return lastState{value: t.last.value, removed: true, position: t.position}
+}
+
 // Finding is a pair that can't be decoded.
 type Finding struct {
 	key string
@@ -140,9 +149,9 @@
 	// compacted is the newest revision of the era up to which some removals may be missing
 	// from tombstones.
 	compacted uint64
-	// released holds the positions of what the state has let go of in the latest era, by key, so that
-	// a peer can't make it hold on to that again.
-	released map[string]store.Position
+	// released holds what the state has let go of in the latest era, by key, so that a peer can't make
+	// it hold on to that again.
+	released map[string]lastState
 	// fingerprint identifies what the state holds, zero if that is nothing.
 	fingerprint uint64
 	current     *View
@@ -158,7 +167,7 @@
 // New returns an empty state.
 func New(decode Decoder) *State {
 	s := &State{
-		decode: decode, records: make(map[string]record), tombstones: make(map[string]tombstone), released: make(map[string]store.Position),
+		decode: decode, records: make(map[string]record), tombstones: make(map[string]tombstone), released: make(map[string]lastState),
 	}
 	s.publish(time.Time{})
 	return s
@@ -365,6 +374,14 @@
 		s.tombstones[key] = removed
 		return
 	}
+	// A peer that can't tell that the pair is later may hold on to what the pair replaces.
+	_, isEndpoint := known.value.(*table.Endpoint)
+	switch {
+	case wasRemoved && removed.position.Era() < position.Era():
+		s.released[key] = removed.lastState()
+	case isEndpoint && known.era < position.Era() && !bytes.Equal(known.pair.Value(), pair.Value()):
+		s.released[key] = known.lastState()
+	}
 	s.adopt(key, next)
 }
 
