pkg/mirror: held state that can't be decoded hides nothing

A peer of another version that holds a form of an endpoint that this version can't decode made the endpoint vanish from the view for up to a minute, though the store shows a form that can be decoded: the pair was adopted without a value. Such held state is now ignored.

TestUndecodableHeldStateIsIgnored fails on the parent commit (MergeHeld reports a change, and the view is empty) and passes with the change.

--- a/pkg/mirror/hold.go
+++ b/pkg/mirror/hold.go
@@ -283,6 +283,9 @@
 	switch {
 	case item.position.Era() >= s.position.Era() || shown.Revision() != item.shown:
 		return false
+	case err != nil && !item.removed:
+		// The peer decodes forms that this process doesn't.
+		return false
 	case isReleased && !told.isAfter(released):
 		return false
 	case known && rec.held != nil && !told.isAfter(rec.lastState()):
--- a/pkg/mirror/hold_test.go
+++ b/pkg/mirror/hold_test.go
@@ -139,3 +139,13 @@
 	watching.MergeHeld(late.Held(), start)
 	require.Equal(t, []string{"1"}, ids(watching.View()))
 }
+
+// TestUndecodableHeldStateIsIgnored guards against a peer of another version whose state hides what the
+// store shows.
+func TestUndecodableHeldStateIsIgnored(t *testing.T) {
+	s := mirror.New(decodeForm)
+	read(s, 2, 20, start, pair("endpoint/1", "1 4 ready", 20))
+	item := mirror.NewHeld(pair("endpoint/1", "other", 40), false, store.At(1, 40), 20, time.Second)
+	require.False(t, s.MergeHeld([]mirror.Held{item}, start))
+	require.Equal(t, []string{"1"}, ids(s.View()))
+}
