pkg/mirror: what a copy lacks isn't taken for removed

An endpoint wasn't used for up to a minute after a recovery, or a second one, if the process had known only a form of it that it couldn't decode.

Cause: keys that the state doesn't hold on to (demands, unknown keys, pairs that can't be decoded) were removed with a removal in the new era if the copy lacked them. No such removal took place, yet it kept what a peer knew of the key, and a write in the first read after a second recovery, out of the view. The record is now dropped without a removal. None is needed: Apply ignores late changes, and peers that are behind read everything. Keys in their grace period keep the removal that began it.

Both parts of TestKeyThatIsNotHeldIsNotRemoved fail on the parent commit (MergeHeld reports no change; the view is empty) and pass with the change.

--- a/pkg/mirror/hold.go
+++ b/pkg/mirror/hold.go
@@ -127,10 +127,11 @@
 	switch {
 	case known.era == s.position.Era() || known.held != nil && known.held.isShown() && !firstRead:
 		s.remove(key, s.position.Revision(), graceUntil)
-	case known.held != nil && !firstRead:
+	case known.held != nil && !firstRead || !known.expires.IsZero():
 		return
-	case !mayBeHeld(known.value) || !known.expires.IsZero():
-		s.remove(key, s.position.Revision(), graceUntil)
+	case !mayBeHeld(known.value):
+		// That the copy lacks the key doesn't mean that it was removed.
+		delete(s.records, key)
 	default:
 		known.held = s.hold(known, store.Pair{})
 		s.records[key] = known
--- a/pkg/mirror/hold_test.go
+++ b/pkg/mirror/hold_test.go
@@ -149,3 +149,26 @@
 	require.False(t, s.MergeHeld([]mirror.Held{item}, start))
 	require.Equal(t, []string{"1"}, ids(s.View()))
 }
+
+// TestKeyThatIsNotHeldIsNotRemoved guards against an endpoint that isn't used for the hold of a removal
+// that never was: the copy lacked a form of it that can't be decoded.
+func TestKeyThatIsNotHeldIsNotRemoved(t *testing.T) {
+	undecodable, lost := pair("endpoint/1", "bad", 20), pair("endpoint/1", "1 2 ready", 21)
+	t.Run("a peer knows more", func(t *testing.T) {
+		s, peer := mirror.New(decodeForm), mirror.New(decodeForm)
+		read(s, 1, 20, start, undecodable)
+		read(peer, 1, 21, start, lost)
+		for _, process := range []*mirror.State{s, peer} {
+			read(process, 2, 10, start)
+		}
+		require.True(t, s.MergeHeld(peer.Held(), start))
+		require.Equal(t, []string{"1"}, ids(s.View()))
+	})
+	t.Run("registered after a second recovery", func(t *testing.T) {
+		s := mirror.New(decodeForm)
+		read(s, 1, 20, start, undecodable)
+		read(s, 2, 15, start)
+		read(s, 3, 12, start, pair("endpoint/1", "2 0 ready", 12))
+		require.Equal(t, []string{"1"}, ids(s.View()))
+	})
+}
