--- a/pkg/mirror/hold.go
+++ b/pkg/mirror/hold.go
@@ -145,10 +145,11 @@
 	switch {
 	case known.era == s.position.Era() || known.held != nil && known.held.isShown() && !firstRead:
 		s.remove(key, s.position.Revision(), graceUntil)
-	case known.held != nil && !firstRead:
+	case known.held != nil && !firstRead || !known.expires.IsZero():
 		return
-	case !mayBeHeld(known.value) || !known.expires.IsZero():
-		s.remove(key, s.position.Revision(), graceUntil)
+	case !mayBeHeld(known.value):
+		// That the copy lacks the key doesn't mean that it was removed.
+		delete(s.records, key)
 	default:
 		s.keep(known, store.Pair{})
 	}
@@ -173,6 +174,7 @@
 	for key, rec := range s.records {
 		if isOver(rec.held) {
 			released = true
+			s.released[key] = rec.lastState()
 			delete(s.records, key)
 			s.show(rec.held.shown)
 		}
@@ -180,6 +182,7 @@
 	for key, removed := range s.tombstones {
 		if isOver(removed.held) {
 			released = true
+			s.released[key] = removed.lastState()
 			delete(s.tombstones, key)
 			s.show(removed.held.shown)
 		}
@@ -279,26 +282,32 @@
 	shown, _ := s.Lookup(key)
 	rec, known := s.records[key]
 	removed, wasRemoved := s.tombstones[key]
+	value, err := s.decode(item.pair)
+	if err != nil {
+		value = nil
+	}
+	last := record{pair: item.pair, era: item.position.Era(), value: value}
+	released, isReleased := s.released[key]
+	told := lastState{value: value, removed: item.removed, position: item.position}
 	switch {
 	case item.position.Era() >= s.position.Era() || shown.Revision() != item.shown:
 		return false
-	case !item.position.After(s.heldOnce[key]):
+	case err != nil && !item.removed:
+		// The peer decodes forms that this process doesn't.
 		return false
-	case known && rec.era < s.position.Era() && !item.position.After(rec.position()):
+	case isReleased && !told.isAfter(released):
 		return false
-	case wasRemoved && (removed.position.Era() == s.position.Era() || !item.position.After(removed.position)):
+	case known && rec.held != nil && !told.isAfter(rec.lastState()):
+		return false
+	case wasRemoved && removed.position.Era() == s.position.Era():
+		return false
+	case wasRemoved && !told.isAfter(removed.lastState()):
 		return false
 	}
 	h := &hold{shown: shown}
 	if item.left > 0 {
 		h.until = s.now.Add(min(item.left, operatorHold))
 	}
-	value, err := s.decode(item.pair)
-	if err != nil {
-		s.findings = append(s.findings, Finding{key: key, err: err})
-		return false
-	}
-	last := record{pair: item.pair, era: item.position.Era(), value: value}
 	s.noteHeld(key, item.position)
 	if item.removed {
 		delete(s.records, key)
@@ -309,3 +318,31 @@
 	s.adopt(key, last)
 	return true
 }
+
+// lastState is a last known state of a key, for the order of those of several processes.
+type lastState struct {
+	value    any
+	removed  bool
+	position store.Position
+}
+
+// isAfter reports whether a state is later than another one of the same key. What a process has read
+// from a copy may have a later position than what was lost, so forms go before positions. A removed
+// endpoint that registers again has a later form.
+func (l lastState) isAfter(other lastState) bool {
+	order := 0
+	switch value := l.value.(type) {
+	case *table.Table:
+		if known, ok := other.value.(*table.Table); ok {
+			order = cmp.Compare(value.Version(), known.Version())
+		}
+	case *table.Endpoint:
+		if known, ok := other.value.(*table.Endpoint); ok {
+			order = compareForms(value, known)
+			if order == 0 && l.removed != other.removed {
+				return l.removed
+			}
+		}
+	}
+	return order > 0 || order == 0 && l.position.After(other.position)
+}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -13,6 +13,7 @@
 package mirror
 
 import (
+	"bytes"
 	"maps"
 	"net/netip"
 	"slices"
@@ -106,6 +107,9 @@
 // position returns the position at which the pair was written.
 func (r record) position() store.Position { return store.At(r.era, r.pair.Revision()) }
 
+// lastState returns the record as the last known state of its key.
+func (r record) lastState() lastState { return lastState{value: r.value, position: r.position()} }
+
 // tombstone records the removal of a key.
 type tombstone struct {
 	position store.Position
@@ -117,6 +121,11 @@
 	held *hold
 }
 
+// lastState returns the removal as the last known state of its key.
+func (t tombstone) lastState() lastState {
+	return lastState{value: t.last.value, removed: true, position: t.position}
+}
+
 // Finding is a pair that can't be decoded.
 type Finding struct {
 	key string
@@ -140,8 +149,11 @@
 	// compacted is the newest revision of the era up to which some removals may be missing
 	// from tombstones.
 	compacted uint64
-	// heldOnce has the positions of all that the state has held in the latest era, by key, so that a
-	// peer can't make it hold on to that again, and fingerprint identifies them.
+	// released holds what the state has let go of in the latest era, by key, so that a peer can't make
+	// it hold on to that again.
+	released map[string]lastState
+	// heldOnce has the positions of all that the state has held in the latest era, by key, and
+	// fingerprint identifies them.
 	heldOnce    map[string]store.Position
 	fingerprint uint64
 	// isHolding is set if the state holds anything.
@@ -159,7 +171,8 @@
 // New returns an empty state.
 func New(decode Decoder) *State {
 	s := &State{
-		decode: decode, records: make(map[string]record), tombstones: make(map[string]tombstone), heldOnce: make(map[string]store.Position),
+		decode: decode, records: make(map[string]record), tombstones: make(map[string]tombstone),
+		released: make(map[string]lastState), heldOnce: make(map[string]store.Position),
 	}
 	s.publish(time.Time{})
 	return s
@@ -198,7 +211,7 @@
 func (s *State) Pairs() []store.Pair {
 	pairs := make([]store.Pair, 0, len(s.records))
 	for key := range s.records {
-		if pair, ok := s.Lookup(key); ok {
+		if pair, ok := s.Lookup(key); ok && s.tombstones[key].held == nil {
 			pairs = append(pairs, pair)
 		}
 	}
@@ -258,6 +271,7 @@
 	newEra := position.Era() > s.position.Era()
 	if newEra {
 		s.compacted = 0
+		clear(s.released)
 		clear(s.heldOnce)
 		s.fingerprint = 0
 	}
@@ -285,14 +299,17 @@
 }
 
 // Apply applies the changes up to revision, in the latest era. Removed members and endpoints
-// that aren't draining stay until graceUntil, as in Replace.
+// that aren't draining stay until graceUntil, as in Replace. It ignores changes up to the state's
+// revision, which a late answer may bring.
 func (s *State) Apply(changes []store.Change, revision uint64, now, graceUntil time.Time) {
 	s.now = now
 	for _, change := range changes {
-		if change.IsRemoved() {
-			s.remove(change.Pair().Key(), change.Pair().Revision(), graceUntil)
-		} else {
-			s.write(change.Pair(), false)
+		switch pair := change.Pair(); {
+		case pair.Revision() <= s.position.Revision():
+		case change.IsRemoved():
+			s.remove(pair.Key(), pair.Revision(), graceUntil)
+		default:
+			s.write(pair, false)
 		}
 	}
 	if s.position.Revision() == 0 {
@@ -355,14 +372,21 @@
 	}
 	next := record{pair: pair, era: position.Era(), value: value}
 	switch {
-	case ok && known.era < position.Era() && !known.isReplacedBy(next, firstRead):
-		known.expires = time.Time{}
+	case ok && known.expires.IsZero() && known.era < position.Era() && !known.isReplacedBy(next, firstRead):
 		s.keep(known, pair)
 		return
 	case wasRemoved && removed.position.Era() < position.Era() && !removed.isReplacedBy(next, firstRead):
 		s.keepRemoved(key, removed, pair)
 		return
 	}
+	// A peer that can't tell that the pair is later may hold on to what the pair replaces.
+	_, isEndpoint := known.value.(*table.Endpoint)
+	switch {
+	case wasRemoved && removed.position.Era() < position.Era():
+		s.released[key] = removed.lastState()
+	case isEndpoint && known.era < position.Era() && !bytes.Equal(known.pair.Value(), pair.Value()):
+		s.released[key] = known.lastState()
+	}
 	s.adopt(key, next)
 }
 
