internal/edge: test of a removal that an entry missed during a recovery of the store

Callers: requests are sent to an endpoint that was removed after the store had recovered, for 10 s after an entry has reached the store again. An endpoint that leaves without saying so still serves then, so that these requests reach it (DRAIN), once the entry has been in touch for 3 s.

The users' page says that an entry that is still missing about two seconds after the store's return is to be treated as gone.

--- a/internal/edge/recovery_test.go
+++ b/internal/edge/recovery_test.go
@@ -382,3 +382,22 @@
 	s.advance()
 	require.Never(t, func() bool { return !s.obeys(0, "key-2", "key-1") || !s.obeys(1, "key-2", "key-1") }, 2*time.Second, 50*time.Millisecond)
 }
+
+// TestRemovalMissedDuringStoreRecoveryIsObeyed guards against requests to an endpoint that was removed
+// after the recovery, but before the entry reached the store again.
+func TestRemovalMissedDuringStoreRecoveryIsObeyed(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, "i-1", "i-2")
+	backup := s.kv.Backup()
+	s.advance()
+	s.store.SetFaults(fakes.StoreFaults{Down: true})
+	time.Sleep(time.Second)
+	s.kv.Recover(backup, stand.KeepLeases)
+	s.remove("servers/i-1")
+	time.Sleep(drainLimit)
+	s.store.SetFaults(fakes.StoreFaults{})
+	time.Sleep(contactSpan)
+	for end := time.Now().Add(contactSpan); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		require.Equal(t, map[string]int{"i-2": 10}, s.servedBy(0, 10))
+	}
+}
