pkg/mirror: test of held state from a peer that was away

Callers: every entry sends requests to an endpoint that is long gone, for up to 10 s, or keeps a data centre evacuated for up to 60 s after that was taken back, once one entry that was cut off or frozen across a recovery of the store is back.

Cause: the entry that was away can't tell that a key was removed in the new era, holds on to it, and tells the others. They refuse it only while they remember the removal, for 60 s; after that the key is one that they don't know, as if the copy had lacked it. They were there when the era began.

--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -197,3 +197,25 @@
 	require.Empty(t, ids(s.View()))
 	require.Len(t, s.View().Endpoints("later"), 1)
 }
+
+// TestHeldStateOfLatePeerDoesNotUndoRemoval guards against an endpoint or an evacuation that comes back
+// since a process that was away has not seen its removal in the new era.
+func TestHeldStateOfLatePeerDoesNotUndoRemoval(t *testing.T) {
+	for _, away := range []time.Duration{30 * time.Second, 90 * time.Second} {
+		t.Run(away.String(), func(t *testing.T) {
+			pairs := []store.Pair{pair("endpoint/1", "10.0.0.1:80 1 ready", 20), pair("evacuate/a", "", 21)}
+			present, late := mirror.New(decode), mirror.New(decode)
+			for _, s := range []*mirror.State{present, late} {
+				s.Replace(store.SnapshotAt(pairs, store.At(1, 150)), start, start)
+			}
+			present.Replace(store.SnapshotAt(pairs, store.At(2, 100)), start, start)
+			present.Apply([]store.Change{store.Removed("endpoint/1", 110), store.Removed("evacuate/a", 111)}, 111, start, start)
+			now := start.Add(away)
+			present.Expire(now)
+			late.Replace(store.SnapshotAt(nil, store.At(2, 111)), now, now)
+			present.MergeHeld(late.Held(), now)
+			require.Empty(t, ids(present.View()))
+			require.False(t, present.View().Evacuated("a"))
+		})
+	}
+}
