pkg/mirror: test of a leaving with a lower start after a recovery of the store

Callers: requests reach an endpoint for up to 60 s after it has said that it leaves, if the copy shows an older form than the known one and the endpoint has started again with a start that isn't later: its clock was set back, or it says no start and its sequence begins anew.

Cause: record.isReplacedBy compares start and sequence alone where these are lower, also for a change that a watch shows, which is a write of the new era. A leaving that is taken for too new costs capacity, one that is missed breaks a promise.

--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -219,3 +219,15 @@
 		})
 	}
 }
+
+// TestLeavingWithEarlierStartIsObeyed guards against requests to an endpoint that says after a recovery
+// that it leaves, but whose clock was set back before it started.
+func TestLeavingWithEarlierStartIsObeyed(t *testing.T) {
+	s := mirror.New(decode)
+	s.Replace(store.SnapshotAt([]store.Pair{pair("endpoint/1", "10.0.0.1:80 9 ready", 150)}, store.At(1, 150)), start, start)
+	s.Replace(store.SnapshotAt([]store.Pair{pair("endpoint/1", "10.0.0.1:80 5 ready", 20)}, store.At(2, 100)), start, start)
+	s.Apply([]store.Change{store.Written(pair("endpoint/1", "10.0.0.1:80 7 draining", 160))}, 160, start, start)
+	for _, endpoint := range s.View().Endpoints("s") {
+		require.True(t, endpoint.Draining())
+	}
+}
