pkg/demand: test of a restored demand that replaces a later one

Callers: a group gets the map for the experts that were chosen before a recovery of the store, though its leader has sent a newer demand since.

Cause: Restore keeps its demand until writeInterval has passed since the stored one last changed. If another entry writes a newer demand in these 4 s, or a process that was away offers the demand that it knew, the old demand differs from the stored one and is written over it.

--- a/pkg/demand/demand_test.go
+++ b/pkg/demand/demand_test.go
@@ -159,3 +159,23 @@
 	writer.Restore(lost)
 	require.Nil(t, writer.Next(lost, now, now.Add(20*time.Second)), "the store has it")
 }
+
+// TestRestoredDemandDoesNotReplaceLaterOne guards against a process that writes the demand from before a
+// recovery of the store over one that another process has written after it.
+func TestRestoredDemandDoesNotReplaceLaterOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	demands := make([]*demand.Demand, 3)
+	for n := range demands {
+		weights := make([]byte, 3)
+		weights[n] = 255
+		var err error
+		demands[n], err = demand.New(1, 3, weights)
+		require.NoError(t, err)
+	}
+	copied, known, later := demands[0], demands[1], demands[2]
+	var writer demand.Writer
+	writer.Restore(known)
+	require.Nil(t, writer.Next(copied, time.Time{}, now))
+	require.Nil(t, writer.Next(later, time.Time{}, now.Add(time.Second)))
+	require.Nil(t, writer.Next(later, time.Time{}, now.Add(10*time.Second)))
+}
