pkg/demand, internal/edge: a restored demand doesn't replace a later one

Found in review. A group would have been planned by the demand from before a recovery of the store although another entry had written a later one after it: several entries offer the known demand, each by its own moment. The demand was also offered before the view was in the new era, so that it could be compared with itself and dropped.

Now it is offered after the view has entered the era, and dropped once the stored demand changes after the first comparison.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -183,16 +183,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.noteEra(snapshot.Position().Era(), now)
-	graceUntil := s.graceUntil(now)
-	if !s.state.Replace(snapshot, now, graceUntil) {
+	if !s.replace(snapshot, "store", now) {
 		s.reportOlder("read", s.state.Position(), snapshot.Position())
 		return eris.New("the store returned an older revision")
 	}
-	event.PictureTaken.Log(s.entry.logger, zap.String("source", "store"), zap.Uint64("revision", snapshot.Revision()), zap.Uint64("era", snapshot.Position().Era()),
-		zap.Bool("after_gap", now.Before(graceUntil)))
 	s.lastContact, s.disconnected = now, false
-	s.publish("store")
 	s.confirm(snapshot.Position(), fresh.Seen(sentAt))
 	return nil
 }
@@ -227,13 +222,32 @@
 	}
 }
 
-// noteEra begins a grace period if the view is about to enter a new era: leases may have been lost
-// in the recovery. The caller holds s.mu.
-func (s *storeSyncer) noteEra(era uint64, now time.Time) {
-	if known := s.state.Position(); era > known.Era() && known != (store.Position{}) {
+// isRecovery reports whether a snapshot of an era is the first one after the store has recovered
+// from a copy. The caller holds s.mu.
+func (s *storeSyncer) isRecovery(era uint64) bool {
+	known := s.state.Position()
+	return era > known.Era() && known != (store.Position{})
+}
+
+// replace replaces the view by a snapshot, from a source, and reports whether that isn't older. If
+// the store has recovered from a copy, it begins a grace period, since leases may have been lost. The
+// caller holds s.mu.
+func (s *storeSyncer) replace(snapshot store.Snapshot, source string, now time.Time) bool {
+	previous, isRecovery := s.state.View(), s.isRecovery(snapshot.Position().Era())
+	if isRecovery {
 		s.expiryGraceUntil = now.Add(mirror.ExpiryGrace)
-		s.entry.demands.reoffer(s.state.View())
 	}
+	graceUntil := s.graceUntil(now)
+	if !s.state.Replace(snapshot, now, graceUntil) {
+		return false
+	}
+	event.PictureTaken.Log(s.entry.logger, zap.String("source", source), zap.Uint64("revision", snapshot.Revision()),
+		zap.Uint64("era", snapshot.Position().Era()), zap.Bool("after_gap", now.Before(graceUntil)))
+	s.publish(source)
+	if isRecovery {
+		s.entry.demands.reoffer(previous)
+	}
+	return true
 }
 
 // graceUntil returns until when registrations whose keys were removed stay in the view.
@@ -306,10 +320,7 @@
 	case isNewer && update.partial && update.position.Era() == s.state.Position().Era():
 		s.state.Apply(update.changes, update.position.Revision(), now, s.graceUntil(now))
 	case isNewer && !update.partial:
-		s.noteEra(update.position.Era(), now)
-		s.state.Replace(store.SnapshotAt(update.pairs, update.position), now, s.graceUntil(now))
-		event.PictureTaken.Log(s.entry.logger, zap.String("source", peer), zap.Uint64("revision", update.position.Revision()),
-			zap.Uint64("era", update.position.Era()))
+		s.replace(store.SnapshotAt(update.pairs, update.position), peer, now)
 	case isNewer:
 		return
 	}
--- a/pkg/demand/writer.go
+++ b/pkg/demand/writer.go
@@ -16,8 +16,10 @@
 	pending *Demand
 	// pendingChange is the distance from which pending differs from another demand.
 	pendingChange float64
-	// restoring is set if pending is to be written even if calls to the store have failed lately.
-	restoring bool
+	// restoring is set if pending is to be written even if calls to the store have failed lately, but
+	// not over a demand that is stored later. Compared is set once it was compared with what the
+	// store shows after its recovery.
+	restoring, compared bool
 	// stored is the demand in the store, and changedAt when it was last seen to change or
 	// this process wrote it.
 	stored    *Demand
@@ -33,7 +35,7 @@
 // lost it, so that no other one may follow.
 func (w *Writer) Restore(d *Demand) {
 	if w.pending == nil {
-		w.pending, w.pendingChange, w.restoring = d, 0, true
+		w.pending, w.pendingChange, w.restoring, w.compared = d, 0, true, false
 	}
 }
 
@@ -42,9 +44,14 @@
 // dropped if the store has about the same, or has failed lately unless it is restored: the next
 // one follows in time.
 func (w *Writer) Next(stored *Demand, failedAt, now time.Time) *Demand {
-	if w.stored != stored {
+	isChanged := w.stored != stored
+	if isChanged {
 		w.stored, w.changedAt = stored, now
 	}
+	if w.restoring && w.compared && isChanged {
+		w.pending = nil
+	}
+	w.compared = true
 	if w.pending == nil {
 		return nil
 	}
