pkg/mirror: a leaving that is written after a recovery is obeyed whatever its start

Found in review. An endpoint that started again with its clock set back, and said after a recovery of the store that it leaves, got requests for up to a minute: its record was taken for an older form than the known one. A write of the new era that says draining is now obeyed in any case; the order of forms is for records that may be the copy's.

--- a/pkg/mirror/hold.go
+++ b/pkg/mirror/hold.go
@@ -61,7 +61,7 @@
 			return isNew
 		}
 		order := compareForms(shown, known)
-		return order > 0 || order == 0 && (isNew || shown.Draining())
+		return order > 0 || order == 0 && (isNew || shown.Draining()) || isNew && shown.Draining()
 	default:
 		return true
 	}
