pkg/mirror, internal/edge: what was removed after a recovery isn't held on to

Found in review. An endpoint that was removed right after a recovery of the store, before an entry had read the store again, got 2 to 6 of 10 calls from it 5 s later. An entry that was away for more than a minute held on to endpoints and evacuations that had been removed long before, and the others took them from it.

Holds are counted from the moment at which anyone knew the era, which hellos say (era_age_ms).

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -450,6 +450,23 @@
 	return s.state.Position()
 }
 
+// eraAge returns how long ago the entry learned of the era of its view, and whether the store has
+// eras.
+func (s *storeSyncer) eraAge(now time.Time) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(0, now.Sub(s.state.EraKnownSince())), s.state.Position().Era() > 0
+}
+
+// noteEraAge records for how long a peer has known an era.
+func (s *storeSyncer) noteEraAge(era uint64, age time.Duration, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if era == s.state.Position().Era() {
+		s.state.NoteEraAge(age, now)
+	}
+}
+
 // heldFingerprint identifies what the view keeps in use though the store has lost it.
 func (s *storeSyncer) heldFingerprint() uint64 {
 	s.mu.Lock()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -298,9 +298,16 @@
 		Pressures: encodePressures(p.entry.allServices()),
 	}
 	writeEvidence(hello, evidence, time.Now())
+	if age, ok := p.entry.storeSyncer.eraAge(time.Now()); ok {
+		milliseconds := uint32(min(age, maxEraAge).Milliseconds())
+		hello.EraAgeMs = &milliseconds
+	}
 	return &wirepb.Datagram{Body: &wirepb.Datagram_Hello{Hello: hello}}
 }
 
+// maxEraAge limits the age of an era in a hello.
+const maxEraAge = time.Hour
+
 // maxHelloLimits is how many limits of endpoints a hello has at most. If there are more, it
 // has some of them, taken at random.
 const maxHelloLimits = 16
@@ -445,6 +452,9 @@
 	if evidence, ok := readEvidence(hello, now); ok {
 		p.entry.storeSyncer.receiveEvidence(position, evidence)
 	}
+	if hello.EraAgeMs != nil {
+		p.entry.storeSyncer.noteEraAge(hello.GetEra(), time.Duration(hello.GetEraAgeMs())*time.Millisecond, now)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastHello[hello.GetName()] = now
--- a/pkg/mirror/hold.go
+++ b/pkg/mirror/hold.go
@@ -30,8 +30,8 @@
 type hold struct {
 	// shown is what the store has, the zero pair if it doesn't have the key.
 	shown store.Pair
-	// until is the end of the hold, zero if it has none.
-	until time.Time
+	// span is how long after eraKnownSince the hold ends, zero if it has no end.
+	span time.Duration
 }
 
 // isShown reports whether the store has the key.
@@ -95,19 +95,19 @@
 // keep holds on to a record of which the store shows another form, or none if shown is the zero
 // pair.
 func (s *State) keep(known record, shown store.Pair) {
-	h := hold{shown: shown, until: s.now.Add(operatorHold)}
+	h := hold{shown: shown, span: operatorHold}
 	switch value := known.value.(type) {
 	case *table.Table:
-		h.until = time.Time{}
+		h.span = 0
 	case *table.Endpoint:
 		if !value.Draining() && !h.isShown() {
-			h.until = s.now.Add(endpointHold)
+			h.span = endpointHold
 		}
 	case table.Member:
-		h.until = s.now.Add(ExpiryGrace)
+		h.span = ExpiryGrace
 	}
 	if known.held != nil {
-		h.until = known.held.until
+		h.span = known.held.span
 	}
 	known.held = &h
 	s.records[known.pair.Key()] = known
@@ -116,15 +116,96 @@
 
 // keepRemoved holds on to the removal of a key though the store shows it.
 func (s *State) keepRemoved(key string, removed tombstone, shown store.Pair) {
-	h := hold{shown: shown, until: s.now.Add(operatorHold)}
+	h := hold{shown: shown, span: operatorHold}
 	if removed.held != nil {
-		h.until = removed.held.until
+		h.span = removed.held.span
 	}
 	removed.held = &h
 	s.tombstones[key] = removed
 	s.noteHeld(key, removed.position)
 }
 
+// left returns the time for which a hold lasts, and whether it has an end.
+func (s *State) left(h *hold) (time.Duration, bool) {
+	return s.eraKnownSince.Add(h.span).Sub(s.now), h.span > 0
+}
+
+// isOver reports whether a hold has ended.
+func (s *State) isOver(h *hold) bool {
+	if h == nil {
+		return false
+	}
+	left, hasEnd := s.left(h)
+	return hasEnd && left < 0
+}
+
+// beginEra records that the store has recovered from a copy. Holds of earlier eras keep their end.
+func (s *State) beginEra(snapshot store.Snapshot) {
+	since := s.now.Sub(s.eraKnownSince)
+	shift := func(h *hold) *hold {
+		if h == nil || h.span == 0 {
+			return h
+		}
+		return &hold{shown: h.shown, span: max(1, h.span-since)}
+	}
+	for key, rec := range s.records {
+		rec.held = shift(rec.held)
+		s.records[key] = rec
+	}
+	for key, removed := range s.tombstones {
+		removed.held = shift(removed.held)
+		s.tombstones[key] = removed
+	}
+	s.eraKnownSince, s.copied = s.now, s.copiedRevision(snapshot)
+	s.compacted = 0
+	clear(s.released)
+	clear(s.heldOnce)
+	s.fingerprint = 0
+}
+
+// copiedRevision returns a revision of the previous era that the copy has reached: that of the
+// newest endpoint or member that the snapshot shows just as it was known. Their owners don't write
+// the same again: records of endpoints are numbered, and members register with a new value.
+func (s *State) copiedRevision(snapshot store.Snapshot) uint64 {
+	copied := uint64(0)
+	for _, pair := range snapshot.Pairs() {
+		known, ok := s.records[pair.Key()]
+		if !ok || !s.isOfEra(known, s.position.Era()) || !hasOwner(known.value) {
+			continue
+		}
+		if known.pair.Revision() == pair.Revision() && bytes.Equal(known.pair.Value(), pair.Value()) {
+			copied = max(copied, pair.Revision())
+		}
+	}
+	return copied
+}
+
+// isOfEra reports whether a record is what the store showed last in an era.
+func (s *State) isOfEra(rec record, era uint64) bool {
+	return rec.era == era && rec.held == nil && rec.expires.IsZero()
+}
+
+// hasOwner reports whether a value is written by a process that runs: an endpoint or a member.
+func hasOwner(value any) bool {
+	switch value.(type) {
+	case *table.Endpoint, table.Member:
+		return true
+	default:
+		return false
+	}
+}
+
+// NoteEraAge records that a peer has known the latest era for a time, so that a process that was away
+// doesn't hold on to what is long settled.
+func (s *State) NoteEraAge(age time.Duration, now time.Time) {
+	if at := now.Add(-age); at.Before(s.eraKnownSince) {
+		s.eraKnownSince = at
+	}
+}
+
+// EraKnownSince returns the earliest moment at which this process or a peer knew the latest era.
+func (s *State) EraKnownSince() time.Time { return s.eraKnownSince }
+
 // noteHeld records that the state holds what was known of a key at a position.
 func (s *State) noteHeld(key string, position store.Position) {
 	digest := func(position store.Position) uint64 {
@@ -139,10 +220,13 @@
 }
 
 // miss handles a key that a snapshot lacks. If the snapshot is the first of its era, the copy from
-// which the store recovered may lack it.
-func (s *State) miss(key string, firstRead bool, graceUntil time.Time) {
+// which the store recovered may lack it, unless the copy is newer than the key: then it was removed
+// after the recovery. Previous is the era before.
+func (s *State) miss(key string, previous uint64, firstRead bool, graceUntil time.Time) {
 	known := s.records[key]
 	switch {
+	case firstRead && hasOwner(known.value) && s.isOfEra(known, previous) && known.pair.Revision() <= s.copied:
+		s.remove(key, s.position.Revision(), graceUntil)
 	case known.era == s.position.Era() || known.held != nil && known.held.isShown() && !firstRead:
 		s.remove(key, s.position.Revision(), graceUntil)
 	case known.held != nil && !firstRead || !known.expires.IsZero():
@@ -170,9 +254,8 @@
 // was any.
 func (s *State) release() bool {
 	released := false
-	isOver := func(h *hold) bool { return h != nil && !h.until.IsZero() && s.now.After(h.until) }
 	for key, rec := range s.records {
-		if isOver(rec.held) {
+		if s.isOver(rec.held) {
 			released = true
 			s.released[key] = rec.lastState()
 			delete(s.records, key)
@@ -180,7 +263,7 @@
 		}
 	}
 	for key, removed := range s.tombstones {
-		if isOver(removed.held) {
+		if s.isOver(removed.held) {
 			released = true
 			s.released[key] = removed.lastState()
 			delete(s.tombstones, key)
@@ -233,10 +316,11 @@
 func (s *State) Held() []Held {
 	var held []Held
 	left := func(h *hold) time.Duration {
-		if h.until.IsZero() {
+		left, hasEnd := s.left(h)
+		if !hasEnd {
 			return 0
 		}
-		return max(time.Millisecond, h.until.Sub(s.now))
+		return max(time.Millisecond, left)
 	}
 	for _, rec := range s.records {
 		if rec.held != nil {
@@ -306,7 +390,10 @@
 	}
 	h := &hold{shown: shown}
 	if item.left > 0 {
-		h.until = s.now.Add(min(item.left, operatorHold))
+		h.span = max(1, min(s.now.Sub(s.eraKnownSince)+item.left, operatorHold))
+	}
+	if s.isOver(h) {
+		return false
 	}
 	s.noteHeld(key, item.position)
 	if item.removed {
--- a/pkg/mirror/hold_test.go
+++ b/pkg/mirror/hold_test.go
@@ -172,3 +172,18 @@
 		require.Equal(t, []string{"1"}, ids(s.View()))
 	})
 }
+
+// TestLateProcessHoldsNothingSettled guards against a process that was away during a recovery and holds on
+// for another minute to what the others have settled.
+func TestLateProcessHoldsNothingSettled(t *testing.T) {
+	s := mirror.New(decodeForm)
+	read(s, 1, 40, start, pair("table", "7", 38), pair("endpoint/1", "1 5 ready", 39), pair("evacuate/a", "", 40))
+	read(s, 2, 30, start)
+	require.Equal(t, []string{"1"}, ids(s.View()))
+	require.True(t, s.View().Evacuated("a"))
+	s.NoteEraAge(90*time.Second, start)
+	s.Expire(start)
+	require.Empty(t, ids(s.View()))
+	require.False(t, s.View().Evacuated("a"))
+	require.Equal(t, uint64(7), s.View().Table().Version(), "versions never go back")
+}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -149,6 +149,10 @@
 	// compacted is the newest revision of the era up to which some removals may be missing
 	// from tombstones.
 	compacted uint64
+	// eraKnownSince is the earliest moment at which this process or a peer knew the latest era, and
+	// copied a revision of the era before that the copy has reached.
+	eraKnownSince time.Time
+	copied        uint64
 	// released holds what the state has let go of in the latest era, by key, so that a peer can't make
 	// it hold on to that again.
 	released map[string]lastState
@@ -269,11 +273,9 @@
 	}
 	s.now = now
 	newEra := position.Era() > s.position.Era()
+	previous := s.position.Era()
 	if newEra {
-		s.compacted = 0
-		clear(s.released)
-		clear(s.heldOnce)
-		s.fingerprint = 0
+		s.beginEra(snapshot)
 	}
 	s.position = position
 	present := make(map[string]bool, len(snapshot.Pairs()))
@@ -283,7 +285,7 @@
 	}
 	for key, rec := range s.records {
 		if !present[key] && !rec.position().After(position) {
-			s.miss(key, newEra, graceUntil)
+			s.miss(key, previous, newEra, graceUntil)
 		}
 	}
 	for key, removed := range s.tombstones {
