pkg/quorum, internal/entry: a patch builds on the newest version that the entries know

Cause: terms are given out again after the copy. Refs that were read from the store were taken as the newest without a look at what the entry itself knows. A round counted a peer that holds any newer term as one that enforces the staged ref, and an entry that knew a newer head wrote the round's head because it took it for decided. Also a newer staged ref beside an older head replaced a view, which undoes the version in force.

Refs older than known are no base for a change: a patch waits until the store has them again, or is rejected as not run. Only a peer whose newest term is that of the staged ref counts. A view never goes back to an older head. A round that is decided elsewhere only reads its outcome, and the head is written over the round's own head and beside its staged ref, as read right before, so that a revision given out again isn't taken for them.

What holds within an era (TestOlderHeadIsNotObeyed) and across eras stands in pkg/quorum/doc.go.

--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -45,6 +45,9 @@
 	errNoMajority = eris.New("no majority of the entries acknowledged the version")
 	// errUndecided reports that the outcome of the round is unknown.
 	errUndecided = eris.New("it is unknown whether the version is in force")
+	// errOlderRefs reports that the key-value store shows older refs than this entry
+	// knows. They are no base for a change.
+	errOlderRefs = eris.New("the store shows an older version than the entries know")
 )
 
 // coordinator stages versions and commits or aborts them. It writes the head and
@@ -65,7 +68,8 @@
 	return &coordinator{follower: f, kv: kv, name: name, logger: logger}
 }
 
-// readRefs reads the head and pending refs from the key-value store.
+// readRefs reads the head and pending refs from the key-value store. It fails with
+// errOlderRefs if they are older than those that the entry knows.
 func (c *coordinator) readRefs(ctx context.Context) (quorum.View, chain.Ref, error) {
 	snapshot, err := c.kv.Read(ctx, chain.HeadKey, chain.PendingKey)
 	if err != nil {
@@ -82,7 +86,11 @@
 	if head.Number() == 0 {
 		return quorum.View{}, chain.Ref{}, chain.ErrNoVersion
 	}
-	return quorum.NewView(head, pending), pending, nil
+	view := quorum.NewView(head, pending)
+	if c.follower.knowsNewer(view) {
+		return quorum.View{}, chain.Ref{}, errOlderRefs
+	}
+	return view, pending, nil
 }
 
 // stage writes the pending ref for a version and its voters. View and lastPending
@@ -137,6 +145,9 @@
 	ticker := time.NewTicker(roundPollInterval)
 	defer ticker.Stop()
 	for {
+		if c.isDecided(round) {
+			return c.readOutcome(ctx, round)
+		}
 		switch c.decideRound(round) {
 		case quorum.DecisionCommit:
 			return c.writeHead(ctx, round, round.CommitRef())
@@ -154,15 +165,32 @@
 	}
 }
 
-// decideRound evaluates the round against the acknowledgements received so far. If
-// another entry has already decided the round, it returns DecisionCommit, and
-// writeHead determines the outcome from the resulting conflict.
-func (c *coordinator) decideRound(round *quorum.Round) quorum.Decision {
+// isDecided reports whether the entry knows a head of the round's term or a later one.
+func (c *coordinator) isDecided(round *quorum.Round) bool {
 	c.follower.mu.Lock()
 	defer c.follower.mu.Unlock()
-	if c.follower.node.View().Head().Term() >= round.Pending().Term() {
-		return quorum.DecisionCommit
+	return c.follower.node.View().Head().Term() >= round.Pending().Term()
+}
+
+// readOutcome reads the outcome of a round that another entry has decided. It returns nil if
+// the version is committed.
+func (c *coordinator) readOutcome(ctx context.Context, round *quorum.Round) error {
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		view, _, err := c.readRefs(ctx)
+		if err == nil && view.Head().Term() >= round.Pending().Term() {
+			return checkDecided(view.Head(), round.CommitRef())
+		}
+		sleep(ctx, retryInterval)
 	}
+	return errUndecided
+}
+
+// decideRound evaluates the round against the acknowledgements received so far.
+func (c *coordinator) decideRound(round *quorum.Round) quorum.Decision {
+	c.follower.mu.Lock()
+	defer c.follower.mu.Unlock()
 	return round.Decide(c.follower.node, time.Now())
 }
 
@@ -187,19 +215,23 @@
 
 // writeHead makes ref the head. If the write conflicts or its result is lost, it
 // reads the head back to determine the outcome.
+//
+// The refs are read again first, since a store that recovers from a copy gives out revisions
+// again: the head is written over that of the round only, and beside the staged ref. If the
+// store has lost that, the followers write it again.
 func (c *coordinator) writeHead(ctx context.Context, round *quorum.Round, ref chain.Ref) error {
 	writeCtx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
 	for writeCtx.Err() == nil {
-		_, err := c.kv.Put(writeCtx, chain.HeadKey, ref.Encode(), round.Head().Revision(), 0)
-		if err == nil {
-			wake(c.follower.pollNow)
-			return nil
-		}
-		if !eris.Is(err, store.ErrUnavailable) {
-			view, _, readErr := c.readRefs(writeCtx)
-			if readErr == nil && view.Head().Term() >= round.Pending().Term() {
-				return checkDecided(view.Head(), ref)
+		view, lastPending, err := c.readRefs(writeCtx)
+		switch {
+		case err != nil:
+		case view.Head().Term() >= round.Pending().Term():
+			return checkDecided(view.Head(), ref)
+		case view.Head().Term() == round.Head().Term() && sameRef(lastPending, round.Pending()):
+			if _, err = c.kv.Put(writeCtx, chain.HeadKey, ref.Encode(), view.Head().Revision(), 0); err == nil {
+				wake(c.follower.pollNow)
+				return nil
 			}
 		}
 		sleep(writeCtx, retryInterval)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -100,6 +100,13 @@
 	}
 }
 
+// knowsNewer reports whether the entry knows newer refs than those of a view.
+func (f *follower) knowsNewer(view quorum.View) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.node.IsNewerThan(view)
+}
+
 func (f *follower) lastRevision() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -202,11 +202,16 @@
 	return c.follower.head
 }
 
-// awaitNoPending waits until no version is pending and returns the refs.
+// awaitNoPending waits until no version is pending and the store has what the entries know,
+// and returns the refs.
 func (c *coordinator) awaitNoPending(ctx context.Context) (quorum.View, chain.Ref, error) {
 	for {
 		view, lastPending, err := c.readRefs(ctx)
-		if err != nil || !view.HasPending() {
+		isOlder := eris.Is(err, errOlderRefs)
+		if !isOlder && (err != nil || !view.HasPending()) {
+			return view, lastPending, err
+		}
+		if ctx.Err() != nil && isOlder {
 			return view, lastPending, err
 		}
 		if ctx.Err() != nil {
--- a/pkg/quorum/doc.go
+++ b/pkg/quorum/doc.go
@@ -31,6 +31,13 @@
 // An aborted pending ref isn't deleted. Instead the head is written again with a
 // higher term, so that every later view is newer than every earlier one.
 //
+// A view never replaces one with a newer head or a newer newest term, whatever the service
+// shows. If the service may only lag or go back by a fault of its own, the known refs are
+// still the newest ones. If it has recovered from a copy and says so with a new era, it is the
+// authority again, but still none that takes back a version that was accepted: the entries
+// write the lost refs again. Until then the terms after the copy may be given out again, so
+// that an acknowledgement of a newer ref is none of the staged one.
+//
 // Node is the state of an entry, and Round the commit of one pending ref. Both
 // are plain values without clocks, goroutines or connections, so that the daemons
 // and the model check run the same code.
--- a/pkg/quorum/node.go
+++ b/pkg/quorum/node.go
@@ -135,16 +135,14 @@
 // when a request that a peer answered was sent, less the age of the view that the
 // peer gave. Changed reports whether the node's view is now another. Rejected
 // reports that the view was ignored because its newest term is below that of the
-// node's view or because it conflicts with the node's view.
+// node's view, because its head is older than that of the node's view, or because it
+// conflicts with the node's view. Only a service that has lost writes shows a newer pending
+// ref beside an older head.
 func (n *Node) Learn(view View, at time.Time) (changed, rejected bool) {
-	if n.view.conflictsWith(view) {
+	if n.IsNewerThan(view) {
 		return false, true
 	}
-	known, received := n.view.Terms(), view.Terms()
-	if received.Newest() < known.Newest() {
-		return false, true
-	}
-	changed = received.NewerThan(known)
+	changed = view.Terms().NewerThan(n.view.Terms())
 	if changed {
 		n.currentAt = at
 		n.view = view
@@ -154,6 +152,13 @@
 	return changed, false
 }
 
+// IsNewerThan reports whether the node knows of a newer ref than those of a view, or of
+// another version in the same term.
+func (n *Node) IsNewerThan(view View) bool {
+	known, received := n.view.Terms(), view.Terms()
+	return received.Newest() < known.Newest() || received.Head() < known.Head() || n.view.conflictsWith(view)
+}
+
 // confirmCurrent records that no newer view existed at the time at.
 func (n *Node) confirmCurrent(at time.Time) {
 	if at.After(n.currentAt) {
@@ -241,13 +246,15 @@
 	return ok && now.Sub(last.at) <= n.timing.maxAckAge && last.terms == n.view.Terms()
 }
 
-// HasSeen reports whether a peer, or the node itself, is known to hold a ref of
-// at least the given term, and so to enforce the pending ref of that term.
+// HasSeen reports whether a peer, or the node itself, is known to hold a view whose newest
+// ref has the given term, and so to enforce the pending ref of that term. One that holds a
+// newer ref doesn't count: the round has been decided, or the service has lost that ref and
+// gives out its term again.
 func (n *Node) HasSeen(peer string, term uint64) bool {
 	if peer == n.self {
-		return n.view.Terms().Newest() >= term
+		return n.view.Terms().Newest() == term
 	}
-	return n.acks[peer].terms.Newest() >= term
+	return n.acks[peer].terms.Newest() == term
 }
 
 // PruneAcks drops the acknowledgements of peers that are no longer voters.
