pkg/chain, internal/entry: entries write versions again that a recovered store has lost

Cause: entries refused the older refs and had no way to put the newer ones back.

Within an era nothing is written, as before.

What stays lost: the records of versions between the copy and the restored one, which `patch history` reports as missing.

TestOlderHeadIsNotObeyed passes.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -85,6 +85,7 @@
 	kvServer          *fakes.Store
 	kvStore           *stand.KV
 	kvAddr            string
+	hostAddr          string
 	hosts             *stand.HostList
 	engines           map[string]*stand.Engine
 	plains            map[string]*stand.Plain
@@ -133,8 +134,7 @@
 	if b.kvAddr, err = b.listen(b.kvServer); err != nil {
 		return err
 	}
-	hostAddr, err := b.listen(b.hosts)
-	if err != nil {
+	if b.hostAddr, err = b.listen(b.hosts); err != nil {
 		return err
 	}
 	for _, service := range b.spec.Services {
@@ -146,7 +146,7 @@
 		return err
 	}
 	for _, spec := range b.spec.Entries {
-		if err := b.startEntry(spec, hostAddr); err != nil {
+		if err := b.StartEntry(spec); err != nil {
 			return err
 		}
 	}
@@ -258,10 +258,11 @@
 	return chain.Init(ctx, client, config.NewFirstVersion(cfg, time.Now()), "bench")
 }
 
-func (b *Bench) startEntry(spec EntrySpec, hostAddr string) error {
+// StartEntry starts an entry without waiting until it is ready.
+func (b *Bench) StartEntry(spec EntrySpec) error {
 	ttl := int(b.spec.AddressTTL.Seconds())
 	text := fmt.Sprintf(`{"name": %q, "data_centre": %q, "listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0", "admin_listen": "127.0.0.1:0", "key_value": %q, "host_list": %q, "address_ttl_s": %d}`,
-		spec.Name, spec.DataCentre, b.kvAddr, hostAddr, ttl)
+		spec.Name, spec.DataCentre, b.kvAddr, b.hostAddr, ttl)
 	if b.spec.StreamBudget > 0 {
 		text = strings.Replace(text, "{", fmt.Sprintf(`{"stream_budget_bytes": %d, `, b.spec.StreamBudget), 1)
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -32,7 +32,7 @@
 
 // configStore is the part of the key-value store that the follower uses.
 type configStore interface {
-	chain.Reader
+	chain.Writer
 	Watch(ctx context.Context, since uint64, wait time.Duration, prefixes ...string) (store.Snapshot, error)
 }
 
@@ -56,6 +56,8 @@
 	kvView    quorum.View
 	lastOlder quorum.Terms
 	revision  uint64
+	// era is the latest era in which the store had all that the entry knew.
+	era       uint64
 	reachable bool
 	serving   bool
 	changed   chan struct{}
@@ -133,6 +135,9 @@
 		return err
 	}
 	view := quorum.NewView(head, pending)
+	if err := f.restore(ctx, snapshot.Position().Era(), head, pending); err != nil {
+		return err
+	}
 	if err := f.adoptView(ctx, view, sentAt); err != nil {
 		return err
 	}
--- a/internal/entry/recovery_test.go
+++ b/internal/entry/recovery_test.go
@@ -10,9 +10,14 @@
 	"github.com/lentilstand/lentilstand/internal/bench"
 	"github.com/lentilstand/lentilstand/internal/entry"
 	"github.com/lentilstand/lentilstand/internal/stand"
+	"github.com/lentilstand/lentilstand/pkg/chain"
+	"github.com/lentilstand/lentilstand/platform"
 	"github.com/lentilstand/lentilstand/platform/fakes"
 )
 
+// recoveryBound is how long the entries may take to write again what a store has lost.
+const recoveryBound = 5 * time.Second
+
 // startVoters starts two entries and waits until both vote.
 func startVoters(t *testing.T) *bench.Bench {
 	spec := twoEntries(stand.DefaultEngineSpec())
@@ -39,6 +44,52 @@
 	b.KVServer().SetFaults(fakes.StoreFaults{})
 }
 
+// requireStored waits until a reader that knows nothing loads a version as the one in force.
+func requireStored(t *testing.T, b *bench.Bench, want entry.PatchResult) {
+	t.Helper()
+	client := platform.NewStore(b.KVAddress(), "test")
+	defer client.Close()
+	var loadErr error
+	loaded := func() bool {
+		head, err := chain.ReadHead(context.Background(), client)
+		if loadErr = err; err != nil || head.Hash() != want.Hash {
+			return false
+		}
+		_, loadErr = chain.Load(context.Background(), client, head, nil)
+		return loadErr == nil
+	}
+	require.Eventually(t, loaded, recoveryBound, 20*time.Millisecond, "the store must have version %d again: %v", want.Version, loadErr)
+}
+
+// TestLostVersionsAreWrittenAgain guards against accepted versions that a recovered store lacks
+// being known only to the entries that run.
+func TestLostVersionsAreWrittenAgain(t *testing.T) {
+	b := startVoters(t)
+	backup := b.KVStore().Backup()
+	submit(t, b, 1, true)
+	accepted := submit(t, b, 2, false)
+	recoverStore(b, backup, stand.KeepLeases)
+	requireStored(t, b, accepted)
+	require.NoError(t, b.StartEntry(bench.EntrySpec{Name: "entry-3", DataCentre: "manastur"}))
+	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+		require.Eventually(t, func() bool { return statusOf(b, name).Hash == accepted.Hash }, recoveryBound, 10*time.Millisecond, name)
+	}
+}
+
+// TestPatchAfterStoreRecoveryIsObeyed guards against a patch that is accepted and obeyed by no
+// entry, because the store has lost the version before it.
+func TestPatchAfterStoreRecoveryIsObeyed(t *testing.T) {
+	b := startVoters(t)
+	backup := b.KVStore().Backup()
+	lost := submit(t, b, 1, true)
+	recoverStore(b, backup, stand.KeepLeases)
+	require.Eventually(t, func() bool { return statusOf(b, "entry-2").ServeState == "fresh" }, recoveryBound, 10*time.Millisecond)
+	next := submit(t, b, lost.Version, false)
+	for _, name := range []string{"entry-1", "entry-2"} {
+		require.Eventually(t, func() bool { return statusOf(b, name).Hash == next.Hash }, recoveryBound, 10*time.Millisecond, name)
+	}
+}
+
 // TestForkedPatchIsNotAccepted guards against a patch being accepted that builds on an older
 // version than the one that the entries obey.
 func TestForkedPatchIsNotAccepted(t *testing.T) {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -111,6 +111,7 @@
 	HistoryMissing   = register(5020, "history_missing", infoLevel, "The store doesn't have the history after `revision` any more, or not in this era; everything is read again.")
 	LostStateHeld    = register(5021, "lost_state_held", warnLevel, "The store has recovered from a copy that lacks `count` keys, or has them in an older form; the last known form stays in use until it is written again, or for a limited time. `keys` names some of them; a count of zero means that none is left.")
 	LostStateLearned = register(5022, "lost_state_learned", infoLevel, "The entry has learned from `peer` what the store has lost by a recovery from a copy.")
+	VersionRestored  = register(5025, "version_restored", warnLevel, "The key-value service has recovered from a copy that lacks the version in force or a staged one; the entry writes them again.")
 	VersionDropped   = register(5009, "version_dropped", infoLevel, "A staged version was rejected.")
 )
 
--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -7,6 +7,10 @@
 // replaces an accepted one with the same number. The key "live/head" refers to the
 // version in force and is changed by compare-and-swap only. A process that knows a
 // version reads only the records after it, which is cheap, and verifies each hash.
+//
+// A service that recovers from a copy may lose versions. Restore writes one of them again
+// with a snapshot of its own, so that it and the versions after it can be loaded though
+// records before it are missing.
 package chain
 
 import (
@@ -185,15 +189,34 @@
 		}
 		// From isn't an ancestor, so it was rejected.
 	}
-	records, err := History(ctx, reader, ref, base)
+	records, err := readBack(ctx, reader, ref, base)
 	if err != nil {
 		return nil, err
 	}
-	version, err := loadSnapshot(ctx, reader, base, records[0].Hash())
-	if err != nil {
-		return nil, err
+	return loadFromSnapshot(ctx, reader, records, base)
+}
+
+// loadFromSnapshot returns the version of the last of the records, which should begin with that
+// of the version base. If earlier ones are missing, it begins with a version that was restored.
+func loadFromSnapshot(ctx context.Context, reader Reader, records []config.Record, base uint64) (*config.Version, error) {
+	for i, record := range records {
+		version, err := loadSnapshot(ctx, reader, record.Number(), record.Hash())
+		switch {
+		case err == nil:
+			return applyRecords(version, records[i+1:])
+		case !eris.Is(err, store.ErrNotFound) || record.Number() == base:
+			return nil, err
+		}
 	}
-	return applyRecords(version, records[1:])
+	return nil, missingRecord(records, base)
+}
+
+// missingRecord returns the error of a history that lacks a record.
+func missingRecord(found []config.Record, last uint64) error {
+	if len(found) > 0 {
+		last = found[0].Number() - 1
+	}
+	return eris.Wrapf(config.ErrChainBroken, "the record of version %d is missing", last)
 }
 
 // loadAfter returns the version that ref refers to by applying the records after
@@ -240,6 +263,19 @@
 // History returns the records of the versions from first up to the one that ref
 // refers to, in order. It follows the hashes of the parents backwards from ref.
 func History(ctx context.Context, reader Reader, ref Ref, first uint64) ([]config.Record, error) {
+	records, err := readBack(ctx, reader, ref, first)
+	if err != nil {
+		return nil, err
+	}
+	if ref.number >= first && (len(records) == 0 || records[0].Number() > max(first, 1)) {
+		return nil, missingRecord(records, ref.number)
+	}
+	return records, nil
+}
+
+// readBack returns the records from first up to ref like History, but only those after the
+// last missing one.
+func readBack(ctx context.Context, reader Reader, ref Ref, first uint64) ([]config.Record, error) {
 	var records []config.Record
 	number, hash := ref.number, ref.hash
 	for number >= first && number > 0 {
@@ -251,7 +287,8 @@
 		for ; number >= lowest; number-- {
 			record, ok := batch[hash]
 			if !ok || record.Number() != number {
-				return nil, eris.Wrapf(config.ErrChainBroken, "the record of version %d is missing", number)
+				slices.Reverse(records)
+				return records, nil
 			}
 			records = append(records, record)
 			hash = record.Parent()
@@ -288,15 +325,15 @@
 	if number == 0 || number > head.number {
 		return nil, eris.Errorf("there is no version %d; the newest is %d", number, head.number)
 	}
-	records, err := History(ctx, reader, head, lastSnapshot(number))
+	records, err := readBack(ctx, reader, head, lastSnapshot(number))
 	if err != nil {
 		return nil, err
 	}
-	version, err := loadSnapshot(ctx, reader, records[0].Number(), records[0].Hash())
-	if err != nil {
-		return nil, err
+	end := slices.IndexFunc(records, func(record config.Record) bool { return record.Number() == number })
+	if end < 0 {
+		return nil, missingRecord(records, head.number)
 	}
-	return applyRecords(version, records[1:number-records[0].Number()+1])
+	return loadFromSnapshot(ctx, reader, records[:end+1], lastSnapshot(number))
 }
 
 // WriteVersion writes the record of a version, and its snapshot if it has one. It
@@ -312,6 +349,20 @@
 	return writeOnce(ctx, writer, key, version.Record().Encode())
 }
 
+// Restore writes the record of a version and a snapshot, unless the version can be loaded. It
+// may be retried after an error.
+func Restore(ctx context.Context, writer Writer, version *config.Version) error {
+	ref := Ref{number: version.Number(), hash: version.Hash()}
+	_, err := Load(ctx, writer, ref, nil)
+	if err == nil || (!eris.Is(err, config.ErrChainBroken) && !eris.Is(err, store.ErrNotFound)) {
+		return err
+	}
+	if err := writeOnce(ctx, writer, snapshotKey(ref.number, ref.hash), version.EncodeSnapshot()); err != nil {
+		return err
+	}
+	return writeOnce(ctx, writer, RecordKey(ref.number, ref.hash), version.Record().Encode())
+}
+
 // writeOnce writes an immutable key. If the key already exists, its value is the
 // same, since the key contains the hash.
 func writeOnce(ctx context.Context, writer Writer, key string, value []byte) error {
--- a/pkg/chain/chain_test.go
+++ b/pkg/chain/chain_test.go
@@ -109,3 +109,31 @@
 	_, err = chain.Load(ctx, s, head, nil)
 	require.ErrorIs(t, err, config.ErrChainBroken)
 }
+
+// TestRestoredVersionIsLoadedWithoutItsHistory guards against versions after a lost one that
+// nobody can load.
+func TestRestoredVersionIsLoadedWithoutItsHistory(t *testing.T) {
+	ctx := context.Background()
+	s := &countingStore{kv: stand.NewKV()}
+	head, versions := writeHistory(t, s, 9)
+	for number := uint64(4); number <= 7; number++ {
+		key := chain.RecordKey(number, versions[number].Hash())
+		pair, _ := s.kv.Read([]string{key}).Get(key)
+		require.NoError(t, s.kv.Delete(key, pair.Revision()))
+	}
+	_, err := chain.Load(ctx, s, head, nil)
+	require.ErrorIs(t, err, config.ErrChainBroken)
+	require.NoError(t, chain.Restore(ctx, s, versions[7]))
+	for _, from := range []*config.Version{nil, versions[5], versions[8]} {
+		loaded, err := chain.Load(ctx, s, head, from)
+		require.NoError(t, err)
+		require.Equal(t, versions[9].Hash(), loaded.Hash())
+	}
+	for _, number := range []uint64{7, 8, 9} {
+		version, err := chain.VersionAt(ctx, s, head, number)
+		require.NoError(t, err, number)
+		require.Equal(t, versions[number].Hash(), version.Hash())
+	}
+	_, err = chain.VersionAt(ctx, s, head, 5)
+	require.ErrorIs(t, err, config.ErrChainBroken, "what nobody has written again is said to be missing")
+}
