internal/entry: an entry registers anew in each era of the store

Cause: the entry took itself for registered as long as a lease with the number of its own could be renewed, and its key as written for good.

Change: lease, revision and written value belong to an era. In a new one the entry takes a new lease and writes its key, as soon as its watch or another call shows the era, and doesn't end a lease of an earlier one.

TestRegistrationLostInRecoveryIsWrittenAgain failed in its three cases before (not registered within 2 s with leases and keys dropped; still registered 12 s after the entry's end with leases kept or dropped) and passes. Left: a renewal or end that is on its way as the store recovers may reach another client's lease; a key that the copy keeps without a lease stays if its entry doesn't run any more.

--- a/internal/entry/recovery_test.go
+++ b/internal/entry/recovery_test.go
@@ -11,6 +11,7 @@
 	"github.com/lentilstand/lentilstand/internal/entry"
 	"github.com/lentilstand/lentilstand/internal/stand"
 	"github.com/lentilstand/lentilstand/pkg/chain"
+	"github.com/lentilstand/lentilstand/pkg/member"
 	"github.com/lentilstand/lentilstand/platform"
 	"github.com/lentilstand/lentilstand/platform/fakes"
 )
@@ -18,6 +19,9 @@
 // recoveryBound is how long the entries may take to write again what a store has lost.
 const recoveryBound = 5 * time.Second
 
+// leaseBound is when the registration of an entry that is gone has expired.
+const leaseBound = 12 * time.Second
+
 // startVoters starts two entries and waits until both vote.
 func startVoters(t *testing.T) *bench.Bench {
 	spec := twoEntries(stand.DefaultEngineSpec())
@@ -101,3 +105,35 @@
 	require.NoError(t, err)
 	require.NotEqual(t, entry.ResultAccepted, result.Result, "version %d is in force", lost.Version)
 }
+
+// TestRegistrationLostInRecoveryIsWrittenAgain guards against an entry that takes itself for
+// registered by a lease that the store has lost or given to another client.
+func TestRegistrationLostInRecoveryIsWrittenAgain(t *testing.T) {
+	for name, leases := range map[string]stand.RecoveredLeases{
+		"leases kept": stand.KeepLeases, "leases dropped": stand.DropLeases, "leases and keys dropped": stand.DropLeasesAndKeys,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := startVoters(t)
+			isRegistered := func(name string) bool {
+				_, found := b.KVStore().Read([]string{member.Prefix}).Get(member.Key(name))
+				return found
+			}
+			backup := b.KVStore().Backup()
+			require.NoError(t, b.StartEntry(bench.EntrySpec{Name: "entry-3", DataCentre: "manastur"}))
+			require.Eventually(t, func() bool { return isRegistered("entry-3") }, recoveryBound, 10*time.Millisecond)
+			recoverStore(b, backup, leases)
+			for range 30 {
+				b.KVStore().Grant(time.Hour)
+			}
+			require.Eventually(t, func() bool { return isRegistered("entry-1") && isRegistered("entry-3") }, 2*time.Second, 10*time.Millisecond)
+			time.Sleep(time.Second)
+			for _, name := range []string{"entry-1", "entry-3"} {
+				b.Entry(name).Close()
+				b.RemoveEntry(name)
+			}
+			require.Eventually(t, func() bool { return !isRegistered("entry-1") && !isRegistered("entry-3") }, leaseBound, 50*time.Millisecond,
+				"the registrations must have leases of their own")
+		})
+	}
+}
--- a/internal/entry/register.go
+++ b/internal/entry/register.go
@@ -41,15 +41,20 @@
 
 // registrar maintains the entry's member key in the key-value store, and proposes
 // changes of the voters to match the members.
+//
+// A store that recovers from a copy gives out leases and revisions again. The entry therefore
+// registers anew in each era, with a lease of that era.
 type registrar struct {
 	entry           *Entry
 	kv              *platform.Store
 	voter           string
 	updateRequested chan struct{}
 
-	mu           sync.Mutex
-	lease        uint64
-	revision     uint64
+	mu       sync.Mutex
+	lease    uint64
+	revision uint64
+	// era is that of the lease, the revision and the written value.
+	era          uint64
 	writtenValue string
 	resigned     bool
 	differsSince map[string]time.Time
@@ -110,6 +115,7 @@
 func (r *registrar) register(ctx context.Context) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.beginEra()
 	value := string(r.self().Encode())
 	if value == r.writtenValue || r.resigned {
 		return
@@ -119,6 +125,7 @@
 	if err := r.entry.records.Open(ctx); err != nil {
 		return
 	}
+	r.beginEra()
 	if r.lease == 0 {
 		lease, err := r.kv.Grant(ctx, memberTTL)
 		if err != nil {
@@ -126,9 +133,16 @@
 		}
 		r.lease = lease
 	}
+	if r.kv.Era() != r.era {
+		// A call of above has shown a new era.
+		r.update()
+		return
+	}
 	key := member.Key(r.entry.settings.Name())
 	revision, err := r.kv.Put(ctx, key, []byte(value), r.revision, r.lease)
 	switch {
+	case r.kv.Era() != r.era:
+		r.update()
 	case err == nil:
 		r.logJoin()
 		r.revision = revision
@@ -140,6 +154,18 @@
 	}
 }
 
+// beginEra discards what belongs to an earlier era of the store. The caller must hold r.mu.
+func (r *registrar) beginEra() {
+	era := r.kv.Era()
+	if era == r.era {
+		return
+	}
+	if r.lease != 0 {
+		event.MemberLost.Log(r.entry.logger, zap.String("voter", r.voter), zap.String("reason", "the store has begun a new era"), zap.Uint64("era", era))
+	}
+	r.lease, r.revision, r.writtenValue, r.era = 0, 0, "", era
+}
+
 func (r *registrar) logJoin() {
 	if r.writtenValue == "" {
 		event.MemberJoined.Log(r.entry.logger, zap.String("voter", r.voter))
@@ -171,6 +197,7 @@
 func (r *registrar) keepAlive(ctx context.Context) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.beginEra()
 	if r.lease == 0 || r.resigned {
 		return
 	}
@@ -299,6 +326,7 @@
 	defer cancel()
 	r.mu.Lock()
 	r.resigned = true
+	r.beginEra()
 	lease := r.lease
 	r.mu.Unlock()
 	if lease != 0 {
