platform, pkg/claim, internal/entry: a watch continues from a position

Cause: Watch took a revision alone. Once the store had reached the revision again, it continued from there and skipped what was written up to it.

Change: callers pass the position that they have; a store in a later era is read again. Claims keep the position of their record likewise.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -33,7 +33,7 @@
 // configStore is the part of the key-value store that the follower uses.
 type configStore interface {
 	chain.Writer
-	Watch(ctx context.Context, since uint64, wait time.Duration, prefixes ...string) (store.Snapshot, error)
+	Watch(ctx context.Context, since store.Position, wait time.Duration, prefixes ...string) (store.Snapshot, error)
 }
 
 // follower maintains the entry's view of the configuration. It learns new versions
@@ -55,7 +55,7 @@
 	parts     blame.Tracker
 	kvView    quorum.View
 	lastOlder quorum.Terms
-	revision  uint64
+	position  store.Position
 	// era is the latest era in which the store had all that the entry knew.
 	era       uint64
 	reachable bool
@@ -80,7 +80,7 @@
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		sentAt := time.Now()
-		snapshot, err := f.kv.Watch(ctx, f.lastRevision(), watchWait, chain.HeadKey, chain.PendingKey, member.Prefix, crash.Prefix)
+		snapshot, err := f.kv.Watch(ctx, f.lastPosition(), watchWait, chain.HeadKey, chain.PendingKey, member.Prefix, crash.Prefix)
 		if err == nil {
 			err = f.handleSnapshot(ctx, snapshot, sentAt)
 		}
@@ -109,10 +109,10 @@
 	return f.node.IsNewerThan(view)
 }
 
-func (f *follower) lastRevision() uint64 {
+func (f *follower) lastPosition() store.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision
+	return f.position
 }
 
 // handleSnapshot processes the result of a watch that was sent at sentAt.
@@ -148,7 +148,7 @@
 	}
 	f.mu.Lock()
 	f.kvView = view
-	f.revision = snapshot.Revision()
+	f.position = snapshot.Position()
 	f.members = members
 	f.notify()
 	f.mu.Unlock()
--- a/internal/stand/kv.go
+++ b/internal/stand/kv.go
@@ -269,7 +269,7 @@
 	if k.waitForChange(ctx, prefixes, since) {
 		return k.read(prefixes)
 	}
-	return store.Unchanged(max(since, k.revision))
+	return store.Unchanged(store.At(k.era, max(since, k.revision)))
 }
 
 // waitForChange waits for a change under the prefixes after the revision since, and
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -51,10 +51,12 @@
 // Store is the part of the key-value service's client that claims use.
 type Store interface {
 	Read(ctx context.Context, prefixes ...string) (store.Snapshot, error)
-	Watch(ctx context.Context, since uint64, wait time.Duration, prefixes ...string) (store.Snapshot, error)
+	Watch(ctx context.Context, since store.Position, wait time.Duration, prefixes ...string) (store.Snapshot, error)
 	Put(ctx context.Context, key string, value []byte, expect, lease uint64) (uint64, error)
 	Delete(ctx context.Context, key string, expect uint64) error
 	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	// Era returns the newest era that the service has named.
+	Era() uint64
 }
 
 // Field is a header field of an outcome.
@@ -109,7 +111,8 @@
 	fingerprint string
 	done        bool
 	outcome     Outcome
-	revision    uint64
+	// position is that of the stored record.
+	position store.Position
 }
 
 // Owner returns the name of the process that claimed the key.
@@ -173,7 +176,7 @@
 	}
 	record := Record{token: uuid.NewString(), owner: c.owner, fingerprint: fingerprint}
 	key := Key(team, idempotencyKey)
-	record.revision, err = c.create(ctx, key, record, lease)
+	record.position, err = c.create(ctx, key, record, lease)
 	if err == nil {
 		return &Claim{claims: c, key: key, record: record, lease: lease}, record, nil
 	}
@@ -196,15 +199,15 @@
 // create writes a new record. If the response is lost it retries once; if the first
 // write took effect, the retry conflicts and the caller recognizes its own record
 // by the token.
-func (c *Claims) create(ctx context.Context, key string, record Record, lease uint64) (uint64, error) {
+func (c *Claims) create(ctx context.Context, key string, record Record, lease uint64) (store.Position, error) {
 	revision, err := c.store.Put(ctx, key, encodeRecord(record), 0, lease)
 	if errors.Is(err, store.ErrUncertain) {
-		return c.store.Put(ctx, key, encodeRecord(record), 0, lease)
+		revision, err = c.store.Put(ctx, key, encodeRecord(record), 0, lease)
 	}
 	if errors.Is(err, store.ErrLeaseExpired) {
 		c.dropLease(lease)
 	}
-	return revision, err
+	return store.At(c.store.Era(), revision), err
 }
 
 // currentLease returns the lease for new claims and renews it when it is older than
@@ -254,7 +257,7 @@
 	if !ok {
 		return Record{}, store.ErrNotFound
 	}
-	return decodeRecord(pair)
+	return decodeRecord(pair, snapshot.Position().Era())
 }
 
 // Await waits until the request of a claimed key has run, for at most wait. It
@@ -264,7 +267,7 @@
 		return record, nil
 	}
 	key := Key(team, idempotencyKey)
-	snapshot, err := c.store.Watch(ctx, record.revision, wait, key)
+	snapshot, err := c.store.Watch(ctx, record.position, wait, key)
 	if err != nil {
 		return record, err
 	}
@@ -281,10 +284,10 @@
 	done := c.record
 	done.done = true
 	done.outcome = outcome
-	revision, err := c.claims.store.Put(ctx, c.key, encodeRecord(done), c.record.revision, c.lease)
+	revision, err := c.claims.store.Put(ctx, c.key, encodeRecord(done), c.record.position.Revision(), c.lease)
 	if err == nil {
 		c.record = done
-		c.record.revision = revision
+		c.record.position = store.At(c.claims.store.Era(), revision)
 		return nil
 	}
 	existing, readErr := c.claims.lookup(ctx, c.key)
@@ -298,7 +301,7 @@
 // Release deletes the claim of a request that has provably not run, so the key can
 // be used again.
 func (c *Claim) Release(ctx context.Context) error {
-	err := c.claims.store.Delete(ctx, c.key, c.record.revision)
+	err := c.claims.store.Delete(ctx, c.key, c.record.position.Revision())
 	if err == nil {
 		return nil
 	}
@@ -347,7 +350,7 @@
 	return encoded
 }
 
-func decodeRecord(pair store.Pair) (Record, error) {
+func decodeRecord(pair store.Pair, era uint64) (Record, error) {
 	var encoding recordJSON
 	if err := json.Unmarshal(pair.Value(), &encoding); err != nil {
 		return Record{}, eris.Wrapf(err, "failed to decode the claim %s", pair.Key())
@@ -358,7 +361,7 @@
 		fingerprint: encoding.Fingerprint,
 		done:        encoding.Done,
 		outcome:     Outcome{status: encoding.Status, body: encoding.Body, bodyOmitted: encoding.Cut},
-		revision:    pair.Revision(),
+		position:    store.At(era, pair.Revision()),
 	}
 	for _, field := range encoding.Fields {
 		record.outcome.fields = append(record.outcome.fields, NewField(field.Name, field.Value))
--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -39,12 +39,14 @@
 	return s.kv.Read(prefixes), nil
 }
 
-func (s *faultyStore) Watch(ctx context.Context, since uint64, wait time.Duration, prefixes ...string) (store.Snapshot, error) {
+func (s *faultyStore) Watch(ctx context.Context, since store.Position, wait time.Duration, prefixes ...string) (store.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	return s.kv.Watch(ctx, prefixes, since), nil
+	return s.kv.Watch(ctx, prefixes, since.Revision()), nil
 }
 
+func (s *faultyStore) Era() uint64 { return s.kv.Era() }
+
 func (s *faultyStore) Put(_ context.Context, key string, value []byte, expect, lease uint64) (uint64, error) {
 	if s.down.Load() {
 		return 0, store.ErrUnavailable
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -95,9 +95,9 @@
 }
 
 // Unchanged returns the result of a watch under whose prefixes nothing has changed
-// up to revision. It has no pairs.
-func Unchanged(revision uint64) Snapshot {
-	return Snapshot{position: At(0, revision), unchanged: true}
+// up to a position. It has no pairs.
+func Unchanged(position Position) Snapshot {
+	return Snapshot{position: position, unchanged: true}
 }
 
 // IsUnchanged reports whether the snapshot is a result of Unchanged. The pairs are then
