pkg/claim, internal/entry: entries write claims again that a recovered store has lost

Cause: the store was taken for the only memory of claims, and leases and revisions for the process's own in any era.

A lease is used in its era only.

Left: what was claimed in the copy's gap by a process that no longer runs can't be known; a process that started after the recovery doesn't know that there was one, so claims at once.

--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -85,6 +85,23 @@
 	}
 }
 
+// restoreClaims writes claims again that the store has lost by a recovery from a copy, until
+// ctx is done.
+func (e *Entry) restoreClaims(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := e.follower.changes()
+		if err := e.claims.Restore(ctx); err != nil {
+			event.ClaimUnsettled.Log(e.logger, event.Error(err))
+			sleep(ctx, retryInterval)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // releaseClaim releases the claim of a request that has provably not run. If the
 // request may have run, the claim is kept and the returned error carries a handle
 // for querying the outcome.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -150,6 +150,7 @@
 	e.spawn(func() { e.agents.run(ctx, e.follower) })
 	e.spawn(func() { e.hosts.run(ctx) })
 	e.spawn(func() { e.flushRecords(ctx) })
+	e.spawn(func() { e.restoreClaims(ctx) })
 	event.ProcessStarted.Log(e.logger,
 		zap.String("listen", e.callers.Address()),
 		zap.String("peer", peers.Address()),
--- a/internal/entry/recovery_test.go
+++ b/internal/entry/recovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -137,3 +138,40 @@
 		})
 	}
 }
+
+// TestRequestDoesNotRunAgainAfterStoreRecovery guards against a request that must not be repeated
+// running twice, because the store has lost its claim or its outcome.
+func TestRequestDoesNotRunAgainAfterStoreRecovery(t *testing.T) {
+	for name, running := range map[string]bool{"outcome lost": false, "recovery while it runs": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ledger := &stand.ExecutionLog{}
+			spec := oneEach(stand.DefaultEngineSpec(), stand.PlainSpec{Capacity: 4, ProcessingTime: 2 * time.Second, ExecutionLog: ledger})
+			spec.Entries = append(spec.Entries, bench.EntrySpec{Name: "entry-2", DataCentre: "centru"})
+			b := startBench(t, spec)
+			order := func(name string) bench.Response {
+				response, err := b.Call(context.Background(), b.Entry(name).Address(), "a", http.MethodPost, "/depozit/orders", "motor",
+					http.Header{"Idempotency-Key": {"order-1"}})
+				require.NoError(t, err)
+				return response
+			}
+			backup := b.KVStore().Backup()
+			first := make(chan bench.Response, 1)
+			go func() { first <- order("entry-1") }()
+			if running {
+				require.Eventually(t, func() bool { return len(b.KVStore().Read([]string{"claim/"}).Pairs()) == 1 }, time.Second, 5*time.Millisecond)
+			} else {
+				require.Equal(t, http.StatusCreated, (<-first).Status)
+			}
+			recoverStore(b, backup, stand.KeepLeases)
+			var answer bench.Response
+			require.Eventually(t, func() bool {
+				answer = order("entry-2")
+				return answer.Status != http.StatusServiceUnavailable
+			}, recoveryBound, 50*time.Millisecond)
+			require.Equal(t, http.StatusCreated, answer.Status, string(answer.Body))
+			require.Equal(t, "true", answer.Header.Get("Lentilstand-Replayed"))
+			require.Len(t, ledger.Executions(), 1)
+		})
+	}
+}
--- a/internal/stand/kv.go
+++ b/internal/stand/kv.go
@@ -243,7 +243,7 @@
 		}
 	}
 	slices.SortFunc(pairs, func(a, b store.Pair) int { return cmp.Compare(a.Key(), b.Key()) })
-	return store.NewSnapshot(pairs, k.revision)
+	return store.SnapshotAt(pairs, store.At(k.era, k.revision))
 }
 
 func filter(snapshot store.Snapshot, prefixes []string) store.Snapshot {
@@ -253,7 +253,7 @@
 			pairs = append(pairs, pair)
 		}
 	}
-	return store.NewSnapshot(pairs, snapshot.Revision())
+	return store.SnapshotAt(pairs, snapshot.Position())
 }
 
 func hasAnyPrefix(key string, prefixes []string) bool {
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -9,6 +9,11 @@
 //
 // A claim costs one write and its outcome another; a duplicate costs a failed write
 // and a read.
+//
+// A service that recovers from a copy begins a new era and may have lost the latest claims
+// and outcomes. Each process writes those again that it remembers, and claims nothing for
+// SettleTime, so that the others can. What was claimed by a process that no longer runs is
+// lost with the service's copy.
 package claim
 
 import (
@@ -143,11 +148,15 @@
 	mu           sync.Mutex
 	lease        uint64
 	leaseGranted time.Time
+	// era is the one in which the lease was granted. Nothing is claimed before settledAt.
+	era       uint64
+	settledAt time.Time
+	memory    memory
 }
 
 // New returns a Claims for the process with the name owner.
 func New(store Store, owner string) *Claims {
-	return &Claims{store: store, owner: owner, now: time.Now}
+	return &Claims{store: store, owner: owner, now: time.Now, memory: newMemory()}
 }
 
 // Key returns the key in the key-value service for a team's idempotency key. It
@@ -162,14 +171,17 @@
 	claims *Claims
 	key    string
 	record Record
-	lease  uint64
 }
 
 // Acquire claims a team's idempotency key for the request with the fingerprint. If
 // the key was claimed before, it fails with ErrAlreadyClaimed or ErrKeyReused and
 // returns the existing record. After any other error it is uncertain whether the
-// key is claimed, and the request must not be sent.
+// key is claimed, and the request must not be sent. The error is store.ErrUnavailable for
+// SettleTime from the begin of an era.
 func (c *Claims) Acquire(ctx context.Context, team, idempotencyKey, fingerprint string) (*Claim, Record, error) {
+	if !c.isSettled() {
+		return nil, Record{}, errUnsettled
+	}
 	lease, err := c.currentLease(ctx)
 	if err != nil {
 		return nil, Record{}, err
@@ -178,7 +190,7 @@
 	key := Key(team, idempotencyKey)
 	record.position, err = c.create(ctx, key, record, lease)
 	if err == nil {
-		return &Claim{claims: c, key: key, record: record, lease: lease}, record, nil
+		return c.settle(ctx, &Claim{claims: c, key: key, record: record})
 	}
 	if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUncertain) {
 		return nil, Record{}, err
@@ -188,7 +200,7 @@
 		return nil, Record{}, errors.Join(err, lookupErr)
 	}
 	if existing.token == record.token {
-		return &Claim{claims: c, key: key, record: existing, lease: lease}, existing, nil
+		return c.settle(ctx, &Claim{claims: c, key: key, record: existing})
 	}
 	if existing.fingerprint != fingerprint {
 		return nil, existing, ErrKeyReused
@@ -216,6 +228,7 @@
 func (c *Claims) currentLease(ctx context.Context) (uint64, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.beginEra()
 	if c.lease != 0 && c.now().Sub(c.leaseGranted) < leaseRenewal {
 		return c.lease, nil
 	}
@@ -238,9 +251,14 @@
 }
 
 // Lookup returns the record of a team's idempotency key. It fails with
-// store.ErrNotFound if the key isn't claimed.
+// store.ErrNotFound if the key isn't claimed, and with store.ErrUnavailable if that can't be
+// said yet in a new era.
 func (c *Claims) Lookup(ctx context.Context, team, idempotencyKey string) (Record, error) {
-	return c.lookup(ctx, Key(team, idempotencyKey))
+	record, err := c.lookup(ctx, Key(team, idempotencyKey))
+	if errors.Is(err, store.ErrNotFound) && !c.isSettled() {
+		return Record{}, errUnsettled
+	}
+	return record, err
 }
 
 func (c *Claims) lookup(ctx context.Context, key string) (Record, error) {
@@ -261,7 +279,8 @@
 }
 
 // Await waits until the request of a claimed key has run, for at most wait. It
-// returns the current record.
+// returns the current record. It fails with store.ErrNotFound if the claim was released; that
+// a recovered service doesn't have it doesn't show that.
 func (c *Claims) Await(ctx context.Context, team, idempotencyKey string, record Record, wait time.Duration) (Record, error) {
 	if record.done {
 		return record, nil
@@ -274,40 +293,99 @@
 	if snapshot.IsUnchanged() {
 		return record, nil
 	}
-	return recordIn(snapshot, key)
+	current, err := recordIn(snapshot, key)
+	if errors.Is(err, store.ErrNotFound) && snapshot.Position().Era() != record.position.Era() {
+		return record, nil
+	}
+	return current, err
 }
 
-// Complete replaces the claim by the outcome. If the write fails, it reads the
-// record: only the claim's owner writes the key, so a record with the claim's token
-// and an outcome shows that the write took effect although its response was lost.
+// Complete replaces the claim by the outcome. If the service has lost the claim, it writes
+// the outcome anew.
 func (c *Claim) Complete(ctx context.Context, outcome Outcome) error {
 	done := c.record
 	done.done = true
 	done.outcome = outcome
-	revision, err := c.claims.store.Put(ctx, c.key, encodeRecord(done), c.record.position.Revision(), c.lease)
+	c.claims.remember(c.key, done, false)
+	position, err := c.claims.replace(ctx, c.key, done)
 	if err == nil {
 		c.record = done
-		c.record.position = store.At(c.claims.store.Era(), revision)
-		return nil
-	}
-	existing, readErr := c.claims.lookup(ctx, c.key)
-	if readErr == nil && existing.token == c.record.token && existing.done {
-		c.record = existing
-		return nil
+		c.record.position = position
 	}
 	return err
 }
 
+// replace writes a record in place of the one of the same claim. After an error it reads the
+// record: only the claim's owner writes the key, so a record with the claim's token and an
+// outcome shows that the write took effect although its response was lost.
+func (c *Claims) replace(ctx context.Context, key string, record Record) (store.Position, error) {
+	const maxTries = 3
+	expected := record.position.Revision()
+	if record.position.Era() != c.store.Era() {
+		// The revision may be that of another claim by now.
+		expected = 0
+	}
+	var err error
+	for range maxTries {
+		var lease, revision uint64
+		if lease, err = c.currentLease(ctx); err != nil {
+			return store.Position{}, err
+		}
+		era := c.store.Era()
+		revision, err = c.store.Put(ctx, key, encodeRecord(record), expected, lease)
+		switch {
+		case err == nil && c.store.Era() == era:
+			return store.At(era, revision), nil
+		case err == nil:
+			// The lease may be another client's.
+			expected, err = revision, errUnsettled
+			continue
+		}
+		if errors.Is(err, store.ErrLeaseExpired) {
+			c.dropLease(lease)
+			continue
+		}
+		existing, readErr := c.lookup(ctx, key)
+		switch {
+		case errors.Is(readErr, store.ErrNotFound):
+			expected = 0
+		case readErr != nil:
+			return store.Position{}, err
+		case existing.token != record.token:
+			return store.Position{}, errClaimedAgain
+		case existing.done == record.done:
+			return existing.position, nil
+		case existing.done:
+			return store.Position{}, err
+		default:
+			expected = existing.position.Revision()
+		}
+	}
+	return store.Position{}, err
+}
+
 // Release deletes the claim of a request that has provably not run, so the key can
 // be used again.
 func (c *Claim) Release(ctx context.Context) error {
-	err := c.claims.store.Delete(ctx, c.key, c.record.position.Revision())
+	c.claims.remember(c.key, c.record, true)
+	return c.claims.release(ctx, c.key, c.record)
+}
+
+func (c *Claims) release(ctx context.Context, key string, record Record) error {
+	err := errUnsettled
+	if record.position.Era() == c.store.Era() {
+		err = c.store.Delete(ctx, key, record.position.Revision())
+	}
 	if err == nil {
 		return nil
 	}
-	existing, readErr := c.claims.lookup(ctx, c.key)
-	if errors.Is(readErr, store.ErrNotFound) || (readErr == nil && existing.token != c.record.token) {
+	existing, readErr := c.lookup(ctx, key)
+	switch {
+	case errors.Is(readErr, store.ErrNotFound) || (readErr == nil && existing.token != record.token):
 		return nil
+	case readErr == nil && existing.position != record.position:
+		// A recovered service has the claim at another revision.
+		return c.store.Delete(ctx, key, existing.position.Revision())
 	}
 	return err
 }
