pkg/crash, internal/entry: crash records outlast a recovery of the store

Cause: records were kept or dropped by comparing their revision with the store's, though they were of different eras, and what the copy lacked was taken for deleted.

Change: records have a position. In a later era an entry keeps those that the store lacks apart, obeys them, and writes them again, each crash counted once though several entries do so.

TestCrashesLostInARecoveryAreWrittenAgain (the deadly request was clear) and TestRemovedCrashIsForgottenAfterARecovery (the cleared one stayed isolated) failed before and pass. Left: a record that was deleted after the copy isolates its request again until that completes alone.

--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -25,7 +25,8 @@
 
 // crashTracker tracks the requests that crashed endpoints. Shared holds the records
 // from the key-value store. Local holds the crashes that this entry observed and
-// has not written to the store, for example because it is unreachable.
+// has not written to the store, for example because it is unreachable. Lost holds the
+// records that the store had, and lacks since it has recovered from a copy.
 type crashTracker struct {
 	store  crash.Store
 	logger *zap.Logger
@@ -33,6 +34,14 @@
 	mu     sync.RWMutex
 	shared map[string]crash.Record
 	local  map[string]localCrash
+	lost   map[string]lostCrash
+}
+
+// lostCrash is a record that the store has lost.
+type lostCrash struct {
+	record crash.Record
+	// writing is set while the record is being written again.
+	writing bool
 }
 
 // localCrash is a crash that isn't in the store.
@@ -45,7 +54,7 @@
 }
 
 func newCrashTracker(s crash.Store, logger *zap.Logger) *crashTracker {
-	return &crashTracker{store: s, logger: logger, local: make(map[string]localCrash)}
+	return &crashTracker{store: s, logger: logger, local: make(map[string]localCrash), lost: make(map[string]lostCrash)}
 }
 
 // addLocal adds a crash that is about to be written. If there are maxLocalCrashes, the
@@ -83,17 +92,56 @@
 			go c.write(fingerprint, l.alone)
 		}
 	}
+	for fingerprint, l := range c.lost {
+		if !l.writing {
+			l.writing = true
+			c.lost[fingerprint] = l
+			go c.restore(fingerprint, l.record)
+		}
+	}
+}
+
+// restore writes a lost record again, and keeps it for retryWrites if that fails.
+func (c *crashTracker) restore(fingerprint string, lost crash.Record) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashWriteTimeout)
+	defer cancel()
+	record, err := crash.Restore(ctx, c.store, fingerprint, lost)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, isLost := c.lost[fingerprint]
+	switch {
+	case !isLost:
+	case err != nil || !record.Covers(l.record):
+		l.writing = false
+		c.lost[fingerprint] = l
+	default:
+		delete(c.lost, fingerprint)
+		c.share(fingerprint, record)
+	}
+}
+
+// share adds a record that was written. The caller must hold c.mu.
+func (c *crashTracker) share(fingerprint string, record crash.Record) {
+	if c.shared == nil {
+		c.shared = make(map[string]crash.Record)
+	}
+	c.shared[fingerprint] = record
 }
 
 // update replaces the shared records with those in the snapshot, except those that this entry
-// has written since.
+// has written since. Records of an earlier era that the snapshot lacks are lost.
 func (c *crashTracker) update(snapshot store.Snapshot) {
 	records := crash.Records(snapshot)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for fingerprint, record := range c.shared {
-		if record.Revision() > snapshot.Revision() {
+		switch {
+		case record.Position().After(snapshot.Position()):
 			records[fingerprint] = record
+		case record.Position().Era() < snapshot.Position().Era() && !records[fingerprint].Covers(record):
+			l := c.lost[fingerprint]
+			l.record = l.record.Merge(record)
+			c.lost[fingerprint] = l
 		}
 	}
 	c.shared = records
@@ -103,7 +151,7 @@
 func (c *crashTracker) isEmpty() bool {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	return len(c.shared) == 0 && len(c.local) == 0
+	return len(c.shared) == 0 && len(c.local) == 0 && len(c.lost) == 0
 }
 
 // state returns whether the request with the fingerprint may run, must run alone
@@ -111,7 +159,7 @@
 func (c *crashTracker) state(fingerprint string) crash.State {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	state := c.shared[fingerprint].State()
+	state := max(c.shared[fingerprint].State(), c.lost[fingerprint].record.State())
 	if l, ok := c.local[fingerprint]; ok && time.Since(l.at) < crash.TTL {
 		state = max(state, crash.Isolated)
 		if l.alone {
@@ -148,10 +196,7 @@
 		return
 	}
 	delete(c.local, fingerprint)
-	if c.shared == nil {
-		c.shared = make(map[string]crash.Record)
-	}
-	c.shared[fingerprint] = record
+	c.share(fingerprint, record)
 }
 
 // clear deletes the record of a request that completed while it ran alone.
@@ -159,6 +204,7 @@
 	c.mu.Lock()
 	delete(c.local, fingerprint)
 	delete(c.shared, fingerprint)
+	delete(c.lost, fingerprint)
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), crashWriteTimeout)
 	defer cancel()
--- a/internal/entry/crashes_test.go
+++ b/internal/entry/crashes_test.go
@@ -93,3 +93,66 @@
 	c.update(s.kv.Read([]string{crash.Prefix}))
 	require.Equal(t, crash.Blocked, c.state("deadly"))
 }
+
+// TestCrashesLostInARecoveryAreWrittenAgain guards against a deadly request that runs again
+// because the store has recovered from a copy without its crash, and against one that is
+// blocked because each entry counts its crash once more.
+func TestCrashesLostInARecoveryAreWrittenAgain(t *testing.T) {
+	s := &crashStore{kv: stand.NewKV()}
+	entries := []*crashTracker{newCrashTracker(s, zap.NewNop()), newCrashTracker(s, zap.NewNop()), newCrashTracker(s, zap.NewNop()), newCrashTracker(s, zap.NewNop())}
+	updateAll := func() {
+		for _, c := range entries {
+			c.update(s.kv.Read([]string{crash.Prefix}))
+			c.retryWrites()
+		}
+	}
+	backup := s.kv.Backup()
+	entries[0].reportCrash("deadly", true)
+	entries[0].reportCrash("bystander", false)
+	updateAll()
+	s.kv.Recover(backup, stand.KeepLeases)
+	for n := range 20 {
+		_, err := s.kv.Put(fmt.Sprint("other/", n), nil, 0, 0)
+		require.NoError(t, err)
+	}
+	updateAll()
+	for _, c := range entries {
+		require.Equal(t, crash.Blocked, c.state("deadly"))
+		require.Equal(t, crash.Isolated, c.state("bystander"))
+	}
+	later := newCrashTracker(s, zap.NewNop())
+	require.Eventually(t, func() bool {
+		later.update(s.kv.Read([]string{crash.Prefix}))
+		return later.state("deadly") == crash.Blocked && later.state("bystander") == crash.Isolated
+	}, time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	updateAll()
+	require.Equal(t, crash.Isolated, entries[0].state("bystander"), "a crash counts once")
+}
+
+// TestRemovedCrashIsForgottenAfterARecovery guards against a record of an earlier era that stays
+// because its revision is higher than the store's.
+func TestRemovedCrashIsForgottenAfterARecovery(t *testing.T) {
+	s := &crashStore{kv: stand.NewKV()}
+	first, second := newCrashTracker(s, zap.NewNop()), newCrashTracker(s, zap.NewNop())
+	first.reportCrash("cleared", false)
+	backup := s.kv.Backup()
+	for n := range 20 {
+		_, err := s.kv.Put(fmt.Sprint("other/", n), nil, 0, 0)
+		require.NoError(t, err)
+	}
+	first.reportCrash("cleared", false)
+	second.update(s.kv.Read([]string{crash.Prefix}))
+	s.kv.Recover(backup, stand.KeepLeases)
+	second.update(s.kv.Read([]string{crash.Prefix}))
+	second.retryWrites()
+	require.Eventually(t, func() bool {
+		second.update(s.kv.Read([]string{crash.Prefix}))
+		second.mu.RLock()
+		defer second.mu.RUnlock()
+		return len(second.lost) == 0
+	}, time.Second, time.Millisecond)
+	first.clear("cleared")
+	second.update(s.kv.Read([]string{crash.Prefix}))
+	require.Equal(t, crash.Clear, second.state("cleared"))
+}
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -5,7 +5,8 @@
 // that ran on it are isolated, including harmless ones. An isolated request runs alone
 // on an endpoint. If that endpoint crashes too, the request is blocked; if the request
 // completes alone, its record is deleted. The records are in the key-value service, so
-// that all entries share them, with leases, so that no request is blocked for ever.
+// that all entries share them, with leases, so that no request is blocked for ever. If the
+// service recovers from a copy that lacks records, those who know them write them again.
 package crash
 
 import (
@@ -48,8 +49,8 @@
 	crashes int
 	// crashesAlone counts the crashes while the request ran alone.
 	crashesAlone int
-	// revision is the revision of the stored record, or zero if there is none.
-	revision uint64
+	// position is that of the stored record, of revision zero if there is none.
+	position store.Position
 }
 
 // State returns the state of the record's request. The zero Record is clear.
@@ -67,9 +68,20 @@
 // Crashes returns the number of endpoint crashes while the request ran.
 func (r Record) Crashes() int { return r.crashes }
 
-// Revision returns the revision of the store at which the record was written, zero if it is not
-// stored.
-func (r Record) Revision() uint64 { return r.revision }
+// Position returns the position of the store at which the record was written, of revision zero if
+// it is not stored.
+func (r Record) Position() store.Position { return r.position }
+
+// Covers reports whether the record has all crashes of another one of the same request.
+func (r Record) Covers(other Record) bool {
+	return r.crashes >= other.crashes && r.crashesAlone >= other.crashesAlone
+}
+
+// Merge returns the record with the crashes of another one, each counted once.
+func (r Record) Merge(other Record) Record {
+	r.crashes, r.crashesAlone = max(r.crashes, other.crashes), max(r.crashesAlone, other.crashesAlone)
+	return r
+}
 
 // recordJSON is the JSON form of a Record.
 type recordJSON struct {
@@ -85,12 +97,12 @@
 	return encoded
 }
 
-func decode(pair store.Pair) (Record, error) {
+func decode(pair store.Pair, era uint64) (Record, error) {
 	var decoded recordJSON
 	if err := json.Unmarshal(pair.Value(), &decoded); err != nil {
 		return Record{}, eris.Wrapf(err, "can't decode key %s", pair.Key())
 	}
-	return Record{crashes: decoded.Crashes, crashesAlone: decoded.Alone, revision: pair.Revision()}, nil
+	return Record{crashes: decoded.Crashes, crashesAlone: decoded.Alone, position: store.At(era, pair.Revision())}, nil
 }
 
 // Records returns the records in a snapshot by fingerprint. It leaves out records that
@@ -102,7 +114,7 @@
 		if !ok {
 			continue
 		}
-		if record, err := decode(pair); err == nil {
+		if record, err := decode(pair, snapshot.Position().Era()); err == nil {
 			records[fingerprint] = record
 		}
 	}
@@ -125,6 +137,27 @@
 // parameter alone says that the endpoint ran no other request. RecordCrash returns
 // store.ErrConflict if other entries update the record in each of maxAttempts attempts.
 func RecordCrash(ctx context.Context, s Store, fingerprint string, alone bool) (Record, error) {
+	return update(ctx, s, fingerprint, func(record Record) Record {
+		record.crashes++
+		if alone {
+			record.crashesAlone++
+		}
+		return record
+	})
+}
+
+// Restore writes a record again that the service has lost, in addition to what it has, and
+// returns the record. It fails like RecordCrash.
+func Restore(ctx context.Context, s Store, fingerprint string, lost Record) (Record, error) {
+	stored, err := read(ctx, s, Prefix+fingerprint)
+	if err != nil || stored.Covers(lost) {
+		return stored, err
+	}
+	return update(ctx, s, fingerprint, func(record Record) Record { return record.Merge(lost) })
+}
+
+// update changes the record of a request.
+func update(ctx context.Context, s Store, fingerprint string, change func(Record) Record) (Record, error) {
 	key := Prefix + fingerprint
 	lease, err := s.Grant(ctx, TTL)
 	if err != nil {
@@ -135,12 +168,10 @@
 		if err != nil {
 			return Record{}, err
 		}
-		record.crashes++
-		if alone {
-			record.crashesAlone++
-		}
-		record.revision, err = s.Put(ctx, key, record.encode(), record.revision, lease)
+		record = change(record)
+		revision, err := s.Put(ctx, key, record.encode(), record.position.Revision(), lease)
 		if err == nil {
+			record.position = store.At(record.position.Era(), revision)
 			return record, nil
 		}
 		if !errors.Is(err, store.ErrConflict) {
@@ -154,10 +185,10 @@
 func DeleteRecord(ctx context.Context, s Store, fingerprint string) error {
 	key := Prefix + fingerprint
 	record, err := read(ctx, s, key)
-	if err != nil || record.revision == 0 {
+	if err != nil || record.position.Revision() == 0 {
 		return err
 	}
-	return s.Delete(ctx, key, record.revision)
+	return s.Delete(ctx, key, record.position.Revision())
 }
 
 // read returns the record at key, or the zero Record if there is none.
@@ -167,8 +198,9 @@
 		return Record{}, err
 	}
 	pair, ok := snapshot.Get(key)
+	era := snapshot.Position().Era()
 	if !ok {
-		return Record{}, nil
+		return Record{position: store.At(era, 0)}, nil
 	}
-	return decode(pair)
+	return decode(pair, era)
 }
