internal/entry: test of lost answers that are settled in a later era

A write of the staged ref or of the head is carried out, its answer is lost, and the store recovers from a copy without it.

--- a/internal/entry/recovery_test.go
+++ b/internal/entry/recovery_test.go
@@ -175,3 +175,37 @@
 		})
 	}
 }
+
+// TestLostAnswerIsSettledInALaterEra guards against an operator who is told that a version isn't
+// in force, or never gets an answer, because the store has lost the write whose answer was lost.
+func TestLostAnswerIsSettledInALaterEra(t *testing.T) {
+	for _, key := range []string{chain.PendingKey, chain.HeadKey} {
+		t.Run(key, func(t *testing.T) {
+			t.Parallel()
+			b := startVoters(t)
+			backup := b.KVStore().Backup()
+			before, _ := b.KVStore().Read([]string{key}).Get(key)
+			b.KVServer().SetFaults(fakes.StoreFaults{DropResponses: true, DropPrefix: key})
+			results := make(chan entry.PatchResult, 1)
+			go func() {
+				result, err := b.SubmitPatch(context.Background(), "entry-1", 1, bench.DataCentreOutPatch("r", "manastur", true))
+				if err == nil {
+					results <- result
+				}
+				close(results)
+			}()
+			require.Eventually(t, func() bool {
+				pair, _ := b.KVStore().Read([]string{key}).Get(key)
+				return pair.Revision() > before.Revision()
+			}, recoveryBound, 5*time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
+			recoverStore(b, backup, stand.KeepLeases)
+			result := <-results
+			require.Equal(t, entry.ResultAccepted, result.Result, result)
+			requireStored(t, b, result)
+			for _, name := range []string{"entry-1", "entry-2"} {
+				require.Eventually(t, func() bool { return statusOf(b, name).Hash == result.Hash }, recoveryBound, 10*time.Millisecond, name)
+			}
+		})
+	}
+}
