pkg/quorum, internal/entry: an acknowledgement names the ref, not only its term

Cause: terms were said to identify a view, but are given out again with the store's copy.

Change: peers send a digest of their newest ref with its term, and both must match. A peer of an earlier release sends none and is compared by its terms, as before.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -172,7 +172,7 @@
 
 // handlePeerState processes a peer's response to a poll that was sent at sentAt.
 func (f *follower) handlePeerState(voter string, state *wirepb.PeerState, sentAt time.Time) error {
-	terms := quorum.NewTerms(state.GetHeadTerm(), state.GetPendingTerm())
+	terms := quorum.NewTerms(state.GetHeadTerm(), state.GetPendingTerm(), state.GetNewestDigest())
 	var readAt time.Time
 	if state.GetReadEver() {
 		readAt = sentAt.Add(-time.Duration(state.GetAgeMs()) * time.Millisecond)
@@ -279,13 +279,13 @@
 	defer f.mu.Unlock()
 	view := f.node.View()
 	terms := view.Terms()
-	state := &wirepb.PeerState{HeadTerm: terms.Head(), PendingTerm: terms.Pending()}
+	state := &wirepb.PeerState{HeadTerm: terms.Head(), PendingTerm: terms.Pending(), NewestDigest: terms.Digest()}
 	if age := f.node.ViewAge(time.Now()); age < 1<<62 {
 		state.ReadEver = true
 		// Rounded up, because the reported age must never be too low.
 		state.AgeMs = uint64(age.Milliseconds() + 1)
 	}
-	asker := quorum.NewTerms(ask.GetHeadTerm(), ask.GetPendingTerm())
+	asker := quorum.NewTerms(ask.GetHeadTerm(), ask.GetPendingTerm(), 0)
 	if asker.NewerThan(terms) {
 		wake(f.pollNow)
 	}
--- a/pkg/quorum/model_test.go
+++ b/pkg/quorum/model_test.go
@@ -175,7 +175,7 @@
 		return DecisionWait
 	}
 	node := m.nodes[m.coordinator]
-	hasSeen := func(voter string) bool { return node.HasSeen(voter, m.round.pending.Term()) }
+	hasSeen := func(voter string) bool { return node.HasSeen(voter, m.round.staged) }
 	switch m.mutant {
 	case noWait:
 		if isMajority(m.round.head.Voters(), hasSeen) {
--- a/pkg/quorum/node.go
+++ b/pkg/quorum/node.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lentilstand/lentilstand/pkg/chain"
 )
 
@@ -37,15 +39,25 @@
 type View struct {
 	head    chain.Ref
 	pending chain.Ref
+	// digest is that of the newest ref.
+	digest uint64
 }
 
 // NewView returns the view of a head and a pending ref. A pending ref whose term
 // isn't above the head's is inactive and is left out.
 func NewView(head, pending chain.Ref) View {
 	if pending.Term() <= head.Term() {
-		return View{head: head}
+		return View{head: head, digest: digestOf(head)}
 	}
-	return View{head: head, pending: pending}
+	return View{head: head, pending: pending, digest: digestOf(pending)}
+}
+
+// digestOf returns a digest of a ref, zero for the zero Ref.
+func digestOf(ref chain.Ref) uint64 {
+	if ref.Term() == 0 {
+		return 0
+	}
+	return xxhash.Sum64(ref.Encode())
 }
 
 // Head returns the ref of the version in force.
@@ -58,7 +70,9 @@
 func (v View) HasPending() bool { return v.pending.Term() > 0 }
 
 // Terms returns the terms of the view's refs.
-func (v View) Terms() Terms { return Terms{head: v.head.Term(), pending: v.pending.Term()} }
+func (v View) Terms() Terms {
+	return Terms{head: v.head.Term(), pending: v.pending.Term(), digest: v.digest}
+}
 
 // conflictsWith reports whether two views name different versions in the same
 // term, as a service that lost its state may show.
@@ -71,15 +85,19 @@
 	return a.Term() != 0 && a.Term() == b.Term() && a.Hash() != b.Hash()
 }
 
-// Terms are the terms of a view's two refs. They identify the view.
+// Terms are the terms of a view's two refs, with a digest of the newest one. They identify the
+// view: a service that has lost refs gives out their terms again, but not for the same refs.
 type Terms struct {
 	head    uint64
 	pending uint64
+	digest  uint64
 }
 
 // NewTerms returns the terms of a head and a pending ref; pending is zero if there
-// is no pending ref.
-func NewTerms(head, pending uint64) Terms { return Terms{head: head, pending: pending} }
+// is no pending ref. Digest is that of the newest ref, zero if it isn't known.
+func NewTerms(head, pending, digest uint64) Terms {
+	return Terms{head: head, pending: pending, digest: digest}
+}
 
 // Head returns the term of the head.
 func (t Terms) Head() uint64 { return t.head }
@@ -87,6 +105,15 @@
 // Pending returns the term of the pending ref.
 func (t Terms) Pending() uint64 { return t.pending }
 
+// Digest returns the digest of the newest ref.
+func (t Terms) Digest() uint64 { return t.digest }
+
+// hasSameNewest reports whether the newest refs of two views are the same. A peer of an
+// earlier release sends no digest, so that only the terms are compared.
+func (t Terms) hasSameNewest(other Terms) bool {
+	return t.Newest() == other.Newest() && (t.digest == other.digest || t.digest == 0 || other.digest == 0)
+}
+
 // Newest returns the higher of the two terms.
 func (t Terms) Newest() uint64 { return max(t.head, t.pending) }
 
@@ -172,7 +199,7 @@
 // have taken; it is zero if the peer doesn't know.
 func (n *Node) RecordAck(peer string, terms Terms, sentAt, currentAt time.Time) {
 	n.acks[peer] = ack{at: sentAt, terms: terms}
-	if terms.Newest() == n.view.Terms().Newest() {
+	if terms.hasSameNewest(n.view.Terms()) {
 		n.confirmCurrent(currentAt)
 	}
 }
@@ -243,18 +270,17 @@
 // MaxAckAge.
 func (n *Node) hasSameView(peer string, now time.Time) bool {
 	last, ok := n.acks[peer]
-	return ok && now.Sub(last.at) <= n.timing.maxAckAge && last.terms == n.view.Terms()
+	return ok && now.Sub(last.at) <= n.timing.maxAckAge && last.terms.head == n.view.head.Term() && last.terms.hasSameNewest(n.view.Terms())
 }
 
-// HasSeen reports whether a peer, or the node itself, is known to hold a view whose newest
-// ref has the given term, and so to enforce the pending ref of that term. One that holds a
-// newer ref doesn't count: the round has been decided, or the service has lost that ref and
-// gives out its term again.
-func (n *Node) HasSeen(peer string, term uint64) bool {
+// HasSeen reports whether a peer, or the node itself, is known to hold the newest ref of a
+// staged view, and so to enforce it. One that holds a newer ref doesn't count: the round has
+// been decided, or the service has lost that ref and gives out its term again.
+func (n *Node) HasSeen(peer string, staged Terms) bool {
 	if peer == n.self {
-		return n.view.Terms().Newest() == term
+		return n.view.Terms().hasSameNewest(staged)
 	}
-	return n.acks[peer].terms.Newest() == term
+	return n.acks[peer].terms.hasSameNewest(staged)
 }
 
 // PruneAcks drops the acknowledgements of peers that are no longer voters.
--- a/pkg/quorum/round.go
+++ b/pkg/quorum/round.go
@@ -27,6 +27,7 @@
 	timing  Timing
 	head    chain.Ref
 	pending chain.Ref
+	staged  Terms
 	// writtenAt is a time by which the pending ref had been written.
 	writtenAt time.Time
 	timeout   time.Duration
@@ -38,14 +39,14 @@
 // written by writtenAt. The round aborts if no majority knows the ref within
 // timeout.
 func NewRound(timing Timing, view View, writtenAt time.Time, timeout time.Duration) *Round {
-	return &Round{timing: timing, head: view.head, pending: view.pending, writtenAt: writtenAt, timeout: timeout}
+	return &Round{timing: timing, head: view.head, pending: view.pending, staged: view.Terms(), writtenAt: writtenAt, timeout: timeout}
 }
 
 // Unacknowledged returns the voters that haven't acknowledged the pending ref.
 func (r *Round) Unacknowledged(node *Node) []string {
 	var voters []string
 	for _, voter := range r.head.Voters() {
-		if !node.HasSeen(voter, r.pending.Term()) {
+		if !node.HasSeen(voter, r.staged) {
 			voters = append(voters, voter)
 		}
 	}
@@ -55,7 +56,7 @@
 // Decide returns the next step, given the acknowledgements that node has
 // received. The first call that finds a majority starts the wait for MaxAckAge.
 func (r *Round) Decide(node *Node, now time.Time) Decision {
-	hasSeen := func(voter string) bool { return node.HasSeen(voter, r.pending.Term()) }
+	hasSeen := func(voter string) bool { return node.HasSeen(voter, r.staged) }
 	if !slices.ContainsFunc(r.head.Voters(), func(voter string) bool { return !hasSeen(voter) }) {
 		return DecisionCommit
 	}
