--- a/internal/stand/kv.go
+++ b/internal/stand/kv.go
@@ -243,7 +243,7 @@
 		}
 	}
 	slices.SortFunc(pairs, func(a, b store.Pair) int { return cmp.Compare(a.Key(), b.Key()) })
-	return store.NewSnapshot(pairs, k.revision)
+	return store.SnapshotAt(pairs, store.At(k.era, k.revision))
 }
 
 func filter(snapshot store.Snapshot, prefixes []string) store.Snapshot {
@@ -253,7 +253,7 @@
 			pairs = append(pairs, pair)
 		}
 	}
-	return store.NewSnapshot(pairs, snapshot.Revision())
+	return store.SnapshotAt(pairs, snapshot.Position())
 }
 
 func hasAnyPrefix(key string, prefixes []string) bool {
@@ -269,7 +269,7 @@
 	if k.waitForChange(ctx, prefixes, since) {
 		return k.read(prefixes)
 	}
-	return store.Unchanged(max(since, k.revision))
+	return store.Unchanged(store.At(k.era, max(since, k.revision)))
 }
 
 // waitForChange waits for a change under the prefixes after the revision since, and
