internal/soak: a version counts once it is written

Cause, in the check: the operator raised the version before it wrote it, and set the time of the acknowledgement after that. A probe between the two asked for a version that the store didn't have, and compared it with the acknowledgement of the version before. Version and time are now changed under one lock together with the write.

--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -241,7 +241,7 @@
 	lastStartCount := 0
 	for ctx.Err() == nil {
 		time.Sleep(200 * time.Millisecond)
-		version, ackedAt := h.site.latestVersion()
+		version, ackedAt := h.site.writes.latestVersion()
 		unplanned, stopped, startCount := e.lastDisturbed()
 		if startCount != lastStartCount {
 			served, lastStartCount = make(map[int]time.Time), startCount
@@ -250,7 +250,7 @@
 		undisturbed := time.Since(unplanned) > disturbanceWindow && time.Since(store) > disturbanceWindow && time.Since(stopped) > graceBound+disturbanceWindow
 		newer := c.send(e, "/check/probe", versionKey(version))
 		older := c.send(e, "/check/probe", versionKey(version-1))
-		if now, _ := h.site.latestVersion(); now != version {
+		if now, _ := h.site.writes.latestVersion(); now != version {
 			continue
 		}
 		if _, _, after := e.lastDisturbed(); after != startCount {
--- a/internal/soak/plant_test.go
+++ b/internal/soak/plant_test.go
@@ -47,10 +47,10 @@
 		r.site.script.Add(fakes.ReorderEvents)
 	case "config":
 		// Claims that a version was acknowledged a minute ago that was never written.
-		r.site.mu.Lock()
-		r.site.version++
-		r.site.ackedAt = time.Now().Add(-time.Minute)
-		r.site.mu.Unlock()
+		r.site.writes.mu.Lock()
+		r.site.writes.version++
+		r.site.writes.acked["op/config"] = time.Now().Add(-time.Minute)
+		r.site.writes.mu.Unlock()
 		time.Sleep(500 * time.Millisecond)
 	case "map":
 		// Sends a rank an order that no leader issued.
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -143,6 +143,7 @@
 	spec    siteSpec
 	kv      *stand.KV
 	store   *fakes.Store
+	writes  *writes
 	group   *fakes.Group
 	script  fakes.FaultScript
 	entries []*daemon
@@ -151,12 +152,13 @@
 	// rankAddress is the address at which rank 0 accepts orders.
 	rankAddress string
 
+	// configs serializes the operator's new versions.
+	configs sync.Mutex
+
 	mu       sync.Mutex
 	plains   []*plain
 	replicas []*fakes.Replica
 	started  int
-	version  int
-	ackedAt  time.Time
 	// replicasDisturbed is when a fault last affected replicas or their links,
 	// storeDisturbed the store.
 	replicasDisturbed, storeDisturbed time.Time
@@ -189,6 +191,7 @@
 
 func newSite(t *testing.T, spec siteSpec) *site {
 	s := &site{t: t, spec: spec, kv: stand.NewKV()}
+	s.writes = newWrites(s.kv)
 	s.store = fakes.NewStore(s.kv)
 	server := httptest.NewServer(s.store)
 	t.Cleanup(func() {
@@ -280,12 +283,14 @@
 }
 
 func (s *site) put(key string, value any) {
+	s.putVersion(key, value, 0)
+}
+
+// putVersion writes a key with a configuration version, zero for other keys.
+func (s *site) putVersion(key string, value any, version int) {
 	encoded, err := json.Marshal(value)
 	require.NoError(s.t, err)
-	var txn stand.Txn
-	txn.Put(key, encoded, 0)
-	_, err = s.kv.Commit(txn)
-	require.NoError(s.t, err)
+	require.NoError(s.t, s.writes.commit(write{key: key, value: encoded, version: version}))
 }
 
 // addPlain starts a plain replica behind a relay and registers it.
@@ -325,17 +330,17 @@
 // writeNextConfig writes the next configuration version, with an API key that only
 // this version allows.
 func (s *site) writeNextConfig() {
-	s.mu.Lock()
-	s.version++
-	version := s.version
-	s.mu.Unlock()
+	s.configs.Lock()
+	defer s.configs.Unlock()
+	latest, _ := s.writes.latestVersion()
+	version := latest + 1
 	route := func(prefix, kind, service string, attempts int, resume bool) map[string]any {
 		return map[string]any{
 			"name": prefix, "host": "club.example", "prefix": prefix, "kind": kind, "timeoutMs": s.spec.timeout.Milliseconds(), "targetLatencyMs": 400,
 			"service": service, "maxAttempts": attempts, "streamResume": resume, "gapAimMs": 120,
 		}
 	}
-	s.put("op/config", map[string]any{
+	s.putVersion("op/config", map[string]any{
 		"version": version,
 		"routes": []any{
 			route("/book/", "non_idempotent", "plain", 1, false), route("/check/", "idempotent", "plain", 2, false),
@@ -348,20 +353,11 @@
 			}},
 		},
 		"tenants": []any{map[string]any{"name": "rowers", "apiKeys": []string{"key", versionKey(version)}, "priority": 1}},
-	})
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ackedAt = time.Now()
+	}, version)
 }
 
 func versionKey(version int) string { return fmt.Sprintf("key-of-%d", version) }
 
-func (s *site) latestVersion() (version int, ackedAt time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.version, s.ackedAt
-}
-
 func (s *site) markDisturbed(store bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
