internal/edge: members that are silent don't count among those that watch the store

A recovery may drop leases and keep the keys attached to them, which then never expire. In a fleet of more than eight, the six members with the lowest hashes watch the store; if these are hosts that have gone, no entry does, for good.

Cause: the order of watchers was that of all members that the store lists. Now it is that of those which the directory lists too: heard within peerTimeout, not leaving, or not to be judged since no member is heard. Entries that disagree on who is alive only cause more watches, never fewer than before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -383,14 +383,12 @@
 	settings := e.settings.Load()
 	var addresses []string
 	self := false
-	for _, member := range e.view.Load().Members() {
+	for _, member := range e.peers.alive(e.view.Load().Members()) {
 		if member.Name() == settings.Name() {
 			self = true
 			if e.NotReadyReason() != "" {
 				continue
 			}
-		} else if !e.peers.isAlive(member) {
-			continue
 		}
 		addresses = append(addresses, member.ClientAddress())
 	}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -137,10 +137,11 @@
 	}
 }
 
-// hashOrder returns this entry's position among the members, ordered by the hash of
-// their names, and the number of members.
+// hashOrder returns this entry's position among the members that are alive, ordered by the hash
+// of their names, and the number of these members. A store that has lost leases in a recovery may
+// list members that have gone for good.
 func (s *storeSyncer) hashOrder() (position, members int) {
-	list := s.entry.view.Load().Members()
+	list := s.entry.peers.alive(s.entry.view.Load().Members())
 	own := xxhash.Sum64String(s.entry.settings.Load().Name())
 	for _, member := range list {
 		if xxhash.Sum64String(member.Name()) < own {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -139,25 +140,23 @@
 	return max(minPeerTimeout, time.Duration(peerTimeoutRounds*float64(rounds)*float64(helloPeriod)))
 }
 
-// isAlive reports whether the directory may list a member: it hasn't said that it stops, and
-// it was heard recently or this entry cannot tell, because it hears no member or has just
-// started.
-func (p *peers) isAlive(member table.Member) bool {
-	timeout := peerTimeout(len(p.entry.view.Load().Members()))
+// alive returns this entry and those members that haven't said that they stop and were heard
+// recently. It returns silent ones too while this entry cannot tell, because it hears no member or
+// has just started.
+func (p *peers) alive(members []table.Member) []table.Member {
+	own, timeout := p.entry.settings.Load().Name(), peerTimeout(len(members))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.leaving[member.Name()] {
-		return false
-	}
 	now := time.Now()
-	if now.Sub(p.lastHello[member.Name()]) < timeout {
-		return true
-	}
-	others := false
-	for _, at := range p.lastHello {
-		others = others || now.Sub(at) < timeout
+	isHeard := func(name string) bool { return now.Sub(p.lastHello[name]) < timeout }
+	canTell := now.Sub(p.startedAt) >= timeout && slices.ContainsFunc(slices.Collect(maps.Keys(p.lastHello)), isHeard)
+	var alive []table.Member
+	for _, member := range members {
+		if name := member.Name(); name == own || !p.leaving[name] && (isHeard(name) || !canTell) {
+			alive = append(alive, member)
+		}
 	}
-	return !others || now.Sub(p.startedAt) < timeout
+	return alive
 }
 
 // run sends hellos and subscriptions, and fetches missing state, until ctx ends.
--- a/internal/edge/relayed_recovery_test.go
+++ b/internal/edge/relayed_recovery_test.go
@@ -377,3 +377,22 @@
 	require.Equal(t, 10, others, "keys of other clients")
 	require.Never(t, func() bool { return !s.registered("entry-1", "entry-2")() }, time.Second, 10*time.Millisecond, "the registration is attached to another client's lease")
 }
+
+// TestMembersThatHaveGoneDoNotWatch guards against a fleet in which no entry watches the store, since
+// members whose keys never expire are counted as those that do.
+func TestMembersThatHaveGoneDoNotWatch(t *testing.T) {
+	t.Parallel()
+	s, watchers, others := startFleet(t, fleetSize+fleetWatchers, fleetWatchers)
+	backup := s.kv.Backup()
+	for _, index := range watchers {
+		s.entries[index].Freeze()
+	}
+	s.recoverStore(backup, stand.DropLeases)
+	require.Len(t, s.kv.Read([]string{"lentilstand/members/"}).Pairs(), len(s.entries))
+	require.Eventually(t, func() bool { return s.kv.Counts().Waiting() >= fleetWatchers }, 8*time.Second, time.Millisecond, "watches")
+	for _, index := range others {
+		require.Len(t, s.addresses(index), len(others))
+	}
+	s.configure([]string{"key-3"}, defaultRoutes...)
+	s.requireObeyed("key-3", "key-1", others...)
+}
