pkg/mirror, internal/edge: removals before a recovery reach peers that missed them

After a recovery an entry that had lagged behind kept an endpoint in use for ten seconds, or a data centre out of use for a minute, though other entries had seen the endpoint or the evacuation removed before the recovery, and the copy had neither.

Cause: the lagging process can't tell that the copy is from after the removal, and holds on to the key. The others don't hold anything, since their state agrees with the copy, and so told it nothing; what it held they refused, each time. Held now also has the removals of earlier eras of endpoints and evacuations, for as long as removals are remembered, and HeldFingerprint covers them. The log of held keys leaves them out, and now has a line when these keys change, not when a form of one does.

TestLaggingPeerLearnsOfRemoval fails on the parent commit (the lagging process has the endpoint in its view, and the fingerprints differ) and passes with the change. The tests of recoveries in internal/edge pass with -race (one run).

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,8 +81,8 @@
 	loggedEvacuations map[string]bool
 	// loggedIgnored are the endpoints that were last logged as ignored, with the reason.
 	loggedIgnored map[string]string
-	// loggedHeld identifies what was last logged as held.
-	loggedHeld uint64
+	// loggedHeld are the keys that were last logged as held.
+	loggedHeld []string
 
 	asks meter.Counter
 	// older counts the answers of the store that were older than the view, by call.
@@ -373,17 +374,18 @@
 
 // logHeld logs what the view keeps in use though the store has lost it. The caller holds s.mu.
 func (s *storeSyncer) logHeld() {
-	fingerprint := s.state.HeldFingerprint()
-	if fingerprint == s.loggedHeld {
-		return
-	}
-	s.loggedHeld = fingerprint
-	held := s.state.Held()
 	var keys []string
-	for _, item := range held[:min(len(held), maxLoggedKeys)] {
-		keys = append(keys, item.Pair().Key())
+	for _, item := range s.state.Held() {
+		// Peers are told of removals that the copy has, too.
+		if !item.IsRemoved() || item.Shown() > 0 {
+			keys = append(keys, item.Pair().Key())
+		}
+	}
+	if slices.Equal(keys, s.loggedHeld) {
+		return
 	}
-	event.LostStateHeld.Log(s.entry.logger, zap.Int("count", len(held)), zap.Strings("keys", keys), zap.Uint64("era", s.state.Position().Era()))
+	s.loggedHeld = keys
+	event.LostStateHeld.Log(s.entry.logger, zap.Int("count", len(keys)), zap.Strings("keys", keys[:min(len(keys), maxLoggedKeys)]), zap.Uint64("era", s.state.Position().Era()))
 }
 
 // logIgnored logs the endpoints that are no longer used, or for another reason, though the store
--- a/pkg/mirror/hold.go
+++ b/pkg/mirror/hold.go
@@ -181,7 +181,8 @@
 }
 
 // Held is the last known state of a key, of an earlier era, that the store has lost or shows in an
-// older form. It is what peers have to know beside the content of the store.
+// older form, or a removal that a peer may have missed. It is what peers have to know beside the content
+// of the store.
 type Held struct {
 	pair     store.Pair
 	removed  bool
@@ -212,7 +213,8 @@
 // Left returns the time for which the state is still held, zero if that has no end.
 func (h Held) Left() time.Duration { return h.left }
 
-// Held returns what the state holds, sorted by key.
+// Held returns what the state holds, sorted by key, and the removals of earlier eras that peers may have
+// missed.
 func (s *State) Held() []Held {
 	var held []Held
 	left := func(h *hold) time.Duration {
@@ -227,15 +229,32 @@
 		}
 	}
 	for key, removed := range s.tombstones {
-		if removed.held != nil {
-			last := store.NewPair(key, removed.last.pair.Value(), removed.last.pair.Revision())
+		last := store.NewPair(key, removed.last.pair.Value(), removed.last.pair.Revision())
+		switch {
+		case removed.held != nil:
 			held = append(held, NewHeld(last, true, removed.position, removed.held.shown.Revision(), left(removed.held)))
+		case s.mayBeMissed(removed):
+			held = append(held, NewHeld(last, true, removed.position, 0, left(&hold{until: removed.at.Add(tombstoneRetention)})))
 		}
 	}
 	slices.SortFunc(held, func(a, b Held) int { return strings.Compare(a.pair.Key(), b.pair.Key()) })
 	return held
 }
 
+// mayBeMissed reports whether a peer may hold on to the key of a removal, since it hadn't seen that before
+// the store recovered.
+func (s *State) mayBeMissed(removed tombstone) bool {
+	if removed.position.Era() == s.position.Era() {
+		return false
+	}
+	switch removed.last.value.(type) {
+	case *table.Endpoint, table.Evacuation:
+		return true
+	default:
+		return false
+	}
+}
+
 // HeldFingerprint identifies what the state holds, zero if that is nothing. States with the same
 // fingerprint have nothing to tell each other beside the content of the store.
 func (s *State) HeldFingerprint() uint64 { return s.fingerprint }
@@ -301,8 +320,12 @@
 		h.until = s.now.Add(min(item.left, operatorHold))
 	}
 	if item.removed {
+		removed := tombstone{position: item.position, at: s.now, last: last, held: h}
+		if !h.isShown() {
+			removed.held, removed.at = nil, h.until.Add(-tombstoneRetention)
+		}
 		delete(s.records, key)
-		s.tombstones[key] = tombstone{position: item.position, at: s.now, last: last, held: h}
+		s.tombstones[key] = removed
 		return true
 	}
 	last.held = h
--- a/pkg/mirror/hold_test.go
+++ b/pkg/mirror/hold_test.go
@@ -172,3 +172,21 @@
 		require.Equal(t, []string{"1"}, ids(s.View()))
 	})
 }
+
+// TestLaggingPeerLearnsOfRemoval guards against requests to an endpoint whose removal the copy has, by a
+// process that hadn't seen it before the recovery, while another one had.
+func TestLaggingPeerLearnsOfRemoval(t *testing.T) {
+	knowing, lagging := mirror.New(decodeForm), mirror.New(decodeForm)
+	for _, s := range []*mirror.State{knowing, lagging} {
+		read(s, 1, 30, start, pair("endpoint/1", "1 4 ready", 18))
+	}
+	read(knowing, 1, 40, start)
+	for _, s := range []*mirror.State{knowing, lagging} {
+		read(s, 2, 45, start)
+	}
+	lagging.MergeHeld(knowing.Held(), start)
+	knowing.MergeHeld(lagging.Held(), start)
+	require.Empty(t, ids(knowing.View()))
+	require.Empty(t, ids(lagging.View()))
+	require.Equal(t, knowing.HeldFingerprint(), lagging.HeldFingerprint())
+}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -324,7 +324,7 @@
 // enough, and reports whether there was any of these. It also removes old tombstones.
 func (s *State) Expire(now time.Time) bool {
 	s.now = now
-	expired := s.release()
+	expired, forgotten := s.release(), false
 	for key, rec := range s.records {
 		if !rec.expires.IsZero() && now.After(rec.expires) {
 			delete(s.records, key)
@@ -335,10 +335,16 @@
 		if removed.held == nil && now.Sub(removed.at) > tombstoneRetention {
 			if removed.position.Era() == s.position.Era() {
 				s.compacted = max(s.compacted, removed.position.Revision())
+			} else {
+				s.released[key] = removed.lastState()
 			}
 			delete(s.tombstones, key)
+			forgotten = true
 		}
 	}
+	if forgotten {
+		s.fingerprint = s.heldFingerprint()
+	}
 	if expired {
 		s.publish(s.current.confirmed)
 	}
