--- a/pkg/mirror/hold.go
+++ b/pkg/mirror/hold.go
@@ -281,7 +281,8 @@
 }
 
 // Held is the last known state of a key, of an earlier era, that the store has lost or shows in an
-// older form. It is what peers have to know beside the content of the store.
+// older form, or a removal that a peer may have missed. It is what peers have to know beside the content
+// of the store.
 type Held struct {
 	pair     store.Pair
 	removed  bool
@@ -312,7 +313,8 @@
 // Left returns the time for which the state is still held, zero if that has no end.
 func (h Held) Left() time.Duration { return h.left }
 
-// Held returns what the state holds, sorted by key.
+// Held returns what the state holds, sorted by key, and the removals of earlier eras that peers may have
+// missed.
 func (s *State) Held() []Held {
 	var held []Held
 	left := func(h *hold) time.Duration {
@@ -328,18 +330,36 @@
 		}
 	}
 	for key, removed := range s.tombstones {
-		if removed.held != nil {
-			last := store.NewPair(key, removed.last.pair.Value(), removed.last.pair.Revision())
+		last := store.NewPair(key, removed.last.pair.Value(), removed.last.pair.Revision())
+		switch {
+		case removed.held != nil:
 			held = append(held, NewHeld(last, true, removed.position, removed.held.shown.Revision(), left(removed.held)))
+		case s.mayBeMissed(removed):
+			held = append(held, NewHeld(last, true, removed.position, 0, max(time.Millisecond, removed.at.Add(tombstoneRetention).Sub(s.now))))
 		}
 	}
 	slices.SortFunc(held, func(a, b Held) int { return strings.Compare(a.pair.Key(), b.pair.Key()) })
 	return held
 }
 
-// HeldFingerprint identifies what the state has held in the latest era, zero if it holds nothing any
-// more. Of two states with the same fingerprint none can learn from the other what the store has
-// lost. It doesn't change as holds end, which happens at other moments in each process.
+// mayBeMissed reports whether a peer may hold on to the key of a removal, since it hadn't seen that before
+// the store recovered.
+func (s *State) mayBeMissed(removed tombstone) bool {
+	if removed.position.Era() == s.position.Era() {
+		return false
+	}
+	switch removed.last.value.(type) {
+	case *table.Endpoint, table.Evacuation:
+		return true
+	default:
+		return false
+	}
+}
+
+// HeldFingerprint identifies what peers may have to know of earlier eras, and had to know since the
+// latest one began, zero if there is nothing any more. Of two states with the same fingerprint none
+// can learn from the other what the store has lost. It doesn't change as holds end, which happens at
+// other moments in each process.
 func (s *State) HeldFingerprint() uint64 {
 	if !s.isHolding {
 		return 0
@@ -347,6 +367,17 @@
 	return s.fingerprint
 }
 
+// updateHolding sets isHolding.
+func (s *State) updateHolding() {
+	s.isHolding = false
+	for _, rec := range s.records {
+		s.isHolding = s.isHolding || rec.held != nil
+	}
+	for _, removed := range s.tombstones {
+		s.isHolding = s.isHolding || removed.held != nil || s.mayBeMissed(removed)
+	}
+}
+
 // MergeHeld adopts what a peer in the same era holds, as far as the peer has seen the same form of a
 // key in the store and this state doesn't know a later one. It reports whether anything changed.
 func (s *State) MergeHeld(held []Held, now time.Time) bool {
@@ -397,8 +428,12 @@
 	}
 	s.noteHeld(key, item.position)
 	if item.removed {
+		removed := tombstone{position: item.position, at: s.now, last: last, held: h}
+		if !h.isShown() {
+			removed.held, removed.at = nil, s.eraKnownSince.Add(h.span-tombstoneRetention)
+		}
 		delete(s.records, key)
-		s.tombstones[key] = tombstone{position: item.position, at: s.now, last: last, held: h}
+		s.tombstones[key] = removed
 		return true
 	}
 	last.held = h
--- a/pkg/mirror/hold_test.go
+++ b/pkg/mirror/hold_test.go
@@ -187,3 +187,21 @@
 	require.False(t, s.View().Evacuated("a"))
 	require.Equal(t, uint64(7), s.View().Table().Version(), "versions never go back")
 }
+
+// TestLaggingPeerLearnsOfRemoval guards against requests to an endpoint whose removal the copy has, by a
+// process that hadn't seen it before the recovery, while another one had.
+func TestLaggingPeerLearnsOfRemoval(t *testing.T) {
+	knowing, lagging := mirror.New(decodeForm), mirror.New(decodeForm)
+	for _, s := range []*mirror.State{knowing, lagging} {
+		read(s, 1, 30, start, pair("endpoint/1", "1 4 ready", 18))
+	}
+	read(knowing, 1, 40, start)
+	for _, s := range []*mirror.State{knowing, lagging} {
+		read(s, 2, 45, start)
+	}
+	lagging.MergeHeld(knowing.Held(), start)
+	knowing.MergeHeld(lagging.Held(), start)
+	require.Empty(t, ids(knowing.View()))
+	require.Empty(t, ids(lagging.View()))
+	require.Equal(t, knowing.HeldFingerprint(), lagging.HeldFingerprint())
+}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -293,6 +293,9 @@
 			removed.held = nil
 			s.tombstones[key] = removed
 		}
+		if newEra && s.mayBeMissed(removed) {
+			s.noteHeld(key, removed.position)
+		}
 	}
 	// Keys that were added and removed again before the read left no tombstone.
 	s.compacted = max(s.compacted, position.Revision())
@@ -333,7 +336,7 @@
 // enough, and reports whether there was any of these. It also removes old tombstones.
 func (s *State) Expire(now time.Time) bool {
 	s.now = now
-	expired := s.release()
+	expired, forgotten := s.release(), false
 	for key, rec := range s.records {
 		if !rec.expires.IsZero() && now.After(rec.expires) {
 			delete(s.records, key)
@@ -344,10 +347,16 @@
 		if removed.held == nil && now.Sub(removed.at) > tombstoneRetention {
 			if removed.position.Era() == s.position.Era() {
 				s.compacted = max(s.compacted, removed.position.Revision())
+			} else {
+				s.released[key] = removed.lastState()
 			}
 			delete(s.tombstones, key)
+			forgotten = true
 		}
 	}
+	if forgotten {
+		s.updateHolding()
+	}
 	if expired {
 		s.publish(s.current.confirmed)
 	}
@@ -523,12 +532,8 @@
 	}
 	selected, ignored := s.selectEndpoints()
 	view.ignored = ignored
-	s.isHolding = false
-	for _, removed := range s.tombstones {
-		s.isHolding = s.isHolding || removed.held != nil
-	}
+	s.updateHolding()
 	for _, key := range slices.Sorted(maps.Keys(s.records)) {
-		s.isHolding = s.isHolding || s.records[key].held != nil
 		switch value := s.records[key].value.(type) {
 		case *table.Endpoint:
 			if selected[key] == nil {
