--- a/pkg/mirror/hold.go
+++ b/pkg/mirror/hold.go
@@ -18,11 +18,14 @@
 // written again. Copies are some seconds old. A table is held for good, since versions never go
 // back.
 const (
-	// operatorHold is for evacuations, removals and endpoints that are draining: what is undone
-	// too early sends requests where they may not go.
+	// operatorHold is for evacuations and for endpoints that are draining or were when they were
+	// removed: what is undone too early sends requests where they may not go.
 	operatorHold = 60 * time.Second
+	// removalHold is for the removal of other endpoints. That of one that has gone is repeated, and
+	// one whose key had only expired may be running and have nothing to write.
+	removalHold = 10 * time.Second
 	// endpointHold is for endpoints that the copy lacks. Running ones register again.
-	endpointHold = 10 * time.Second
+	endpointHold = ExpiryGrace
 )
 
 // hold tells why a record or a tombstone of an earlier era is still in use: the store shows an
@@ -117,6 +120,9 @@
 // keepRemoved holds on to the removal of a key though the store shows it.
 func (s *State) keepRemoved(key string, removed tombstone, shown store.Pair) {
 	h := hold{shown: shown, span: operatorHold}
+	if endpoint, ok := removed.last.value.(*table.Endpoint); ok && !endpoint.Draining() {
+		h.span = removalHold
+	}
 	if removed.held != nil {
 		h.span = removed.held.span
 	}
--- a/pkg/mirror/hold_test.go
+++ b/pkg/mirror/hold_test.go
@@ -205,3 +205,27 @@
 	require.Empty(t, ids(lagging.View()))
 	require.Equal(t, knowing.HeldFingerprint(), lagging.HeldFingerprint())
 }
+
+// TestRunningEndpointIsNotHeldOut guards against endpoints that get no requests for a minute: their keys
+// had expired just before the recovery, and the copy has them in the form in which they stay.
+func TestRunningEndpointIsNotHeldOut(t *testing.T) {
+	shown := pair("endpoint/1", "1 4 ready", 18)
+	s := mirror.New(decodeForm)
+	read(s, 1, 30, start, shown)
+	read(s, 1, 40, start)
+	read(s, 2, 20, start, shown)
+	require.Empty(t, ids(s.View()), "its removal may be repeated")
+	s.Expire(start.Add(11 * time.Second))
+	require.Equal(t, []string{"1"}, ids(s.View()))
+}
+
+// TestGoneEndpointIsNotHeld guards against requests to an endpoint that has gone: the first snapshot of an
+// era lacks it, and nothing shows whether the copy did.
+func TestGoneEndpointIsNotHeld(t *testing.T) {
+	s := mirror.New(decodeForm)
+	read(s, 1, 30, start, pair("endpoint/1", "1 4 ready", 18))
+	read(s, 2, 20, start)
+	require.Equal(t, []string{"1"}, ids(s.View()), "it may register again")
+	s.Expire(start.Add(mirror.ExpiryGrace + time.Millisecond))
+	require.Empty(t, ids(s.View()))
+}
