internal/entry: a version of a peer that is cut off from the store is written again

Cause: an entry that had read the store in the new era took all that it learned later for what the store has.

Change: a peer says the latest era in which the store had all that it knows, and who takes its view takes that era. Lost refs are looked for at each answer of the store, not only at changes.

TestVersionOfACutOffPeerIsWrittenAgain failed before (the head of version 1 stays) and passes.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -47,15 +47,17 @@
 	rules   atomic.Pointer[route.Rules]
 	pollNow chan struct{}
 
-	mu        sync.Mutex
-	node      *quorum.Node
-	head      *config.Version
-	pending   *config.Version
-	members   []member.Member
-	parts     blame.Tracker
-	kvView    quorum.View
-	lastOlder quorum.Terms
-	position  store.Position
+	mu      sync.Mutex
+	node    *quorum.Node
+	head    *config.Version
+	pending *config.Version
+	members []member.Member
+	parts   blame.Tracker
+	// shownHead and shownPending are the refs that the store showed last.
+	shownHead    chain.Ref
+	shownPending chain.Ref
+	lastOlder    quorum.Terms
+	position     store.Position
 	// era is the latest era in which the store had all that the entry knew.
 	era       uint64
 	reachable bool
@@ -120,9 +122,12 @@
 	defer f.crashes.retryWrites()
 	if snapshot.IsUnchanged() {
 		f.mu.Lock()
-		view := f.kvView
+		head, pending := f.shownHead, f.shownPending
 		f.mu.Unlock()
-		return f.adoptView(ctx, view, sentAt)
+		if err := f.restore(ctx, snapshot.Position().Era(), head, pending); err != nil {
+			return err
+		}
+		return f.adoptView(ctx, quorum.NewView(head, pending), sentAt)
 	}
 	head, err := chain.RefIn(snapshot, chain.HeadKey)
 	if err != nil {
@@ -134,11 +139,10 @@
 		event.VersionUnusable.Log(f.logger, event.Error(err))
 		return err
 	}
-	view := quorum.NewView(head, pending)
 	if err := f.restore(ctx, snapshot.Position().Era(), head, pending); err != nil {
 		return err
 	}
-	if err := f.adoptView(ctx, view, sentAt); err != nil {
+	if err := f.adoptView(ctx, quorum.NewView(head, pending), sentAt); err != nil {
 		return err
 	}
 	f.crashes.update(snapshot)
@@ -147,7 +151,7 @@
 		event.PeerUnreadable.Log(f.logger, zap.String("key", key))
 	}
 	f.mu.Lock()
-	f.kvView = view
+	f.shownHead, f.shownPending = head, pending
 	f.position = snapshot.Position()
 	f.members = members
 	f.notify()
@@ -204,15 +208,21 @@
 func (f *follower) learnView(view quorum.View, head, pending *config.Version, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.learn(view, head, pending, at)
+}
+
+// learn is learnView for a caller that holds f.mu. It reports whether the view has changed.
+func (f *follower) learn(view quorum.View, head, pending *config.Version, at time.Time) bool {
 	changed, older := f.node.Learn(view, at)
 	if older {
 		f.logRollback(view)
-		return
+		return false
 	}
 	if !changed || head == nil {
-		return
+		return false
 	}
 	f.publishRules(head, pending)
+	return true
 }
 
 // logRollback logs that the key-value store returned an older state than the
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lentilstand/lentilstand/internal/event"
 	"github.com/lentilstand/lentilstand/internal/link"
@@ -214,7 +215,12 @@
 			return err
 		}
 	}
-	f.learnView(quorum.NewView(headRef, pendingRef), head, pending, readAt)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.learn(quorum.NewView(headRef, pendingRef), head, pending, readAt) && state.Era != nil {
+		// The store may have lost what the peer knows, and the peer be cut off from it.
+		f.era = min(f.era, state.GetEra())
+	}
 	return nil
 }
 
@@ -279,7 +285,7 @@
 	defer f.mu.Unlock()
 	view := f.node.View()
 	terms := view.Terms()
-	state := &wirepb.PeerState{HeadTerm: terms.Head(), PendingTerm: terms.Pending(), NewestDigest: terms.Digest()}
+	state := &wirepb.PeerState{HeadTerm: terms.Head(), PendingTerm: terms.Pending(), NewestDigest: terms.Digest(), Era: proto.Uint64(f.era)}
 	if age := f.node.ViewAge(time.Now()); age < 1<<62 {
 		state.ReadEver = true
 		// Rounded up, because the reported age must never be too low.
--- a/internal/entry/restore.go
+++ b/internal/entry/restore.go
@@ -15,6 +15,7 @@
 
 // restore writes the versions and refs that the entry knows again if the store has recovered
 // from a copy that lacks them. Head and pending are the refs that the store shows in an era.
+// What a peer knew from an earlier era counts as its own.
 //
 // The refs are written on condition of those that were shown, so that of several entries one
 // writes them, and none replaces a ref that it hasn't seen. Within an era nothing is written:
