pkg/audit: a version that the store has lost is a gap, not the end of the audit

Cause: a history that can't be read was an error of the audit, since the store lost nothing.

Change: a missing version is a finding of kind gap, once each; requests under other versions are replayed.

TestLostVersionIsAGap failed before with that error and passes. Left: a request that was decided by a staged version whose record was lost is still reported as misrouted.

--- a/pkg/audit/audit_test.go
+++ b/pkg/audit/audit_test.go
@@ -203,3 +203,23 @@
 	require.Len(t, report.Findings(), 1)
 	require.Contains(t, report.Findings()[0].String(), "5 records were dropped")
 }
+
+// TestLostVersionIsAGap guards against an audit that fails as a whole because the service has
+// recovered from a copy without one of the versions.
+func TestLostVersionIsAGap(t *testing.T) {
+	ctx := context.Background()
+	s := newRecordedStore(t)
+	head, err := chain.ReadHead(ctx, s)
+	require.NoError(t, err)
+	newest, err := chain.Load(ctx, s, head, nil)
+	require.NoError(t, err)
+	for _, pair := range s.kv.Read([]string{"config/"}).Pairs() {
+		require.NoError(t, s.kv.Delete(pair.Key(), pair.Revision()))
+	}
+	require.NoError(t, chain.Restore(ctx, s, newest))
+	report := replay(t, s)
+	require.Equal(t, 40, report.Requests())
+	require.Len(t, report.Findings(), 1, "one finding for the version, not for each request")
+	require.Equal(t, KindGap, report.Findings()[0].Kind())
+	require.Contains(t, report.Findings()[0].String(), "version 1")
+}
--- a/pkg/audit/replay.go
+++ b/pkg/audit/replay.go
@@ -103,7 +103,7 @@
 		return nil, err
 	}
 	report := &Report{}
-	versions := &versionCache{reader: reader, head: head, byNumber: make(map[uint64]*config.Version), staged: make(map[string]*config.Version)}
+	versions := &versionCache{reader: reader, head: head, byNumber: make(map[uint64]*config.Version), staged: make(map[string]*config.Version), missing: make(map[uint64]bool)}
 	for _, run := range groupByRun(snapshot, report) {
 		run.verify(report, now)
 		for _, batch := range run.batches {
@@ -210,13 +210,24 @@
 	head     chain.Ref
 	byNumber map[uint64]*config.Version
 	staged   map[string]*config.Version
+	// missing has the versions that the service has lost.
+	missing map[uint64]bool
 }
 
+// errVersionLost is returned for a version in the history that can't be loaded.
+var errVersionLost = eris.New("the version is missing from the history")
+
 func (c *versionCache) at(ctx context.Context, number uint64) (*config.Version, error) {
 	if version, ok := c.byNumber[number]; ok {
 		return version, nil
 	}
+	if c.missing[number] {
+		return nil, errVersionLost
+	}
 	version, err := chain.VersionAt(ctx, c.reader, c.head, number)
+	if eris.Is(err, config.ErrChainBroken) {
+		return nil, eris.Wrap(errVersionLost, err.Error())
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -247,6 +258,14 @@
 	for _, attempt := range record.attempts {
 		report.attempts++
 		rules, problem, err := rulesFor(ctx, versions, attempt)
+		if eris.Is(err, errVersionLost) {
+			if !versions.missing[attempt.version] {
+				versions.missing[attempt.version] = true
+				report.add(KindGap, entry, "", "version %d is missing from the history; the requests under it can't be replayed", attempt.version)
+			}
+			failed = append(failed, attempt.endpoint)
+			continue
+		}
 		if err != nil {
 			return err
 		}
