cmd/lentilstand: an older store settles nothing

Cause: the commands took the store's head for the newest one. They start anew each time, so they can't know that an era has begun.

Change: both ask the entries; one that knows a newer version makes the answer "unknown: ask again", or removes nothing. A version whose record the store has lost is "unknown" as well.

--- a/cmd/lentilstand/patch.go
+++ b/cmd/lentilstand/patch.go
@@ -355,6 +355,10 @@
 	}
 	if head.Number() >= c.Number {
 		records, err := chain.History(ctx, o.kv, head, c.Number)
+		if eris.Is(err, config.ErrChainBroken) {
+			fmt.Fprintf(o.stdout, "unknown: the store has lost versions: %v\n", err)
+			return exitUnknown
+		}
 		if err != nil {
 			return o.fail(err)
 		}
@@ -363,6 +367,11 @@
 			return exitOK
 		}
 	}
+	isNewer := knowsNewer(head)
+	if anyEntry(ctx, o.settings.EntryAddresses(), func(status *entry.Status) bool { return isNewer(status) || status.Pending == c.Number }) {
+		fmt.Fprintln(o.stdout, "unknown: the entries know a newer version than the store shows; ask again")
+		return exitUnknown
+	}
 	fmt.Fprintln(o.stdout, "rejected: the version is not in force and is not staged")
 	return exitFailed
 }
--- a/cmd/lentilstand/status.go
+++ b/cmd/lentilstand/status.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/lentilstand/lentilstand/internal/entry"
 	"github.com/lentilstand/lentilstand/internal/prefs"
+	"github.com/lentilstand/lentilstand/pkg/chain"
 )
 
 // statusTimeout limits the wait for the status of one entry.
@@ -77,6 +79,21 @@
 	return &status, nil
 }
 
+// anyEntry reports whether match is true for the status of an entry that can be reached.
+func anyEntry(ctx context.Context, addresses []string, match func(*entry.Status) bool) bool {
+	return slices.ContainsFunc(addresses, func(address string) bool {
+		status, err := fetchStatus(ctx, address)
+		return err == nil && match(status)
+	})
+}
+
+// knowsNewer returns a function that reports whether an entry knows a newer version than the
+// head that the store shows. The store has then recovered from a copy, and the entries write
+// the version again.
+func knowsNewer(head chain.Ref) func(*entry.Status) bool {
+	return func(status *entry.Status) bool { return status.Version > head.Number() }
+}
+
 func pendingNote(status *entry.Status) string {
 	if status.Pending == 0 {
 		return ""
--- a/cmd/lentilstand/voters.go
+++ b/cmd/lentilstand/voters.go
@@ -45,7 +45,7 @@
 		fmt.Fprintln(stderr, "error: a process that is only partitioned could keep serving an old version; add --confirm-dead if these processes are dead")
 		return exitUsage
 	case c.Remove != nil:
-		err = removeVoters(ctx, kv, stdout, c.Remove.Voters)
+		err = removeVoters(ctx, kv, settings.EntryAddresses(), stdout, c.Remove.Voters)
 	default:
 		fmt.Fprintln(stderr, "error: a subcommand of voters is needed; see lentilstand voters --help")
 		return exitUsage
@@ -71,7 +71,7 @@
 // removeVoters rewrites the head with fewer voters. It is safe only because the
 // operator has confirmed that the removed voters are dead: no majority that holds
 // an older view can be formed from the remaining voters.
-func removeVoters(ctx context.Context, kv *platform.Store, stdout io.Writer, removed []string) error {
+func removeVoters(ctx context.Context, kv *platform.Store, entries []string, stdout io.Writer, removed []string) error {
 	snapshot, err := kv.Read(ctx, chain.HeadKey, chain.PendingKey)
 	if err != nil {
 		return err
@@ -89,6 +89,9 @@
 			return eris.Errorf("%s has no vote; see lentilstand voters list", voter)
 		}
 	}
+	if anyEntry(ctx, entries, knowsNewer(head)) {
+		return eris.New("the entries know a newer version than the store shows, and write it again; nothing was removed, try again")
+	}
 	remaining := slices.DeleteFunc(slices.Clone(head.Voters()), func(v string) bool { return slices.Contains(removed, v) })
 	term := max(head.Term(), pending.Term()) + 1
 	ref := chain.NewRef(term, head.Number(), head.Hash(), remaining, "operator")
