--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -152,10 +152,12 @@
 		case quorum.DecisionCommit:
 			return c.writeHead(ctx, round, round.CommitRef())
 		case quorum.DecisionAbort:
+			// Once the abort is written, nobody holds the pending ref any more.
+			missing := c.unacknowledged(round)
 			if err := c.writeHead(ctx, round, round.AbortRef()); err != nil {
 				return err
 			}
-			return eris.Wrapf(errNoMajority, "no acknowledgement from %v", c.unacknowledged(round))
+			return eris.Wrapf(errNoMajority, "no acknowledgement from %v", missing)
 		}
 		select {
 		case <-ticker.C:
