--- a/internal/soak/deadly_test.go
+++ b/internal/soak/deadly_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/lentilstand/lentilstand/internal/stand"
 	"github.com/lentilstand/lentilstand/platform/fakes"
 )
 
@@ -133,12 +132,7 @@
 	d.site.register(id, "plain", r.Address())
 }
 
-func (d *deadlyRun) remove(id string) {
-	var txn stand.Txn
-	txn.Remove("servers/" + id)
-	_, err := d.site.kv.Commit(txn)
-	require.NoError(d.site.t, err)
-}
+func (d *deadlyRun) remove(id string) { d.site.remove("servers/" + id) }
 
 // recordCrash is called when a deadly request has reached a replica, which crashes on it.
 func (d *deadlyRun) recordCrash(id string) {
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -45,8 +45,9 @@
 	err    error
 	// undisturbed is set if no fault affected the entry, the endpoints or their
 	// agents from disturbanceWindow before the request until its end; stopping is
-	// set if the entry had received SIGTERM within about graceBound.
-	undisturbed, stopping bool
+	// set if the entry had received SIGTERM within about graceBound. inTouch is set if the
+	// entry and the store were undisturbed for as long.
+	undisturbed, stopping, inTouch bool
 }
 
 func (a *callRecord) atMostOnce() bool {
@@ -67,6 +68,8 @@
 	calls    map[string]*callRecord
 	count    int
 	findings []string
+	// dueProbes is the number of probes at entries that had to obey the version.
+	dueProbes int
 }
 
 func newHistory(s *site) *history { return &history{site: s, calls: make(map[string]*callRecord)} }
@@ -203,7 +206,9 @@
 	a.status, a.header, a.answer, a.unsent, a.err, a.end = got.status, got.header, got.answer, got.unsent, got.err, got.end
 	longAgo := func(at time.Time) bool { return a.start.Sub(at) > disturbanceWindow }
 	unplanned, stopped, _ := a.entry.lastDisturbed()
-	replicas, _ := h.site.lastDisturbed()
+	replicas, store := h.site.lastDisturbed()
+	since, runs := a.entry.inTouchSince()
+	a.inTouch = runs && longAgo(since) && longAgo(store)
 	a.undisturbed = longAgo(unplanned) && longAgo(replicas)
 	for _, agent := range h.site.agents {
 		at, _, _ := agent.lastDisturbed()
@@ -232,6 +237,9 @@
 	}
 }
 
+// probePath is the path of the requests of probeConfig.
+const probePath = "/check/probe"
+
 // probeConfig checks which configuration version an entry applies: it sends requests
 // with the API keys of the latest version and of the one before it.
 func (h *history) probeConfig(ctx context.Context, e *daemon) {
@@ -241,22 +249,28 @@
 	lastStartCount := 0
 	for ctx.Err() == nil {
 		time.Sleep(200 * time.Millisecond)
-		version, ackedAt := h.site.writes.latestVersion()
-		unplanned, stopped, startCount := e.lastDisturbed()
+		version, ackedAt, isBound := h.site.writes.latestVersion()
+		_, _, startCount := e.lastDisturbed()
+		since, runs := e.inTouchSince()
 		if startCount != lastStartCount {
 			served, lastStartCount = make(map[int]time.Time), startCount
 		}
 		_, store := h.site.lastDisturbed()
-		undisturbed := time.Since(unplanned) > disturbanceWindow && time.Since(store) > disturbanceWindow && time.Since(stopped) > graceBound+disturbanceWindow
-		newer := c.send(e, "/check/probe", versionKey(version))
-		older := c.send(e, "/check/probe", versionKey(version-1))
-		if now, _ := h.site.writes.latestVersion(); now != version {
+		undisturbed := runs && time.Since(since) > disturbanceWindow && time.Since(store) > disturbanceWindow
+		newer := c.send(e, probePath, versionKey(version))
+		older := c.send(e, probePath, versionKey(version-1))
+		if now, _, _ := h.site.writes.latestVersion(); now != version {
 			continue
 		}
 		if _, _, after := e.lastDisturbed(); after != startCount {
 			continue
 		}
-		due := undisturbed && newer.start.Sub(ackedAt) > configApplyBound+slack
+		due := undisturbed && isBound && newer.start.Sub(ackedAt) > configApplyBound+slack
+		if due {
+			h.mu.Lock()
+			h.dueProbes++
+			h.mu.Unlock()
+		}
 		first, has := served[version]
 		switch {
 		case newer.status == http.StatusUnauthorized && due:
@@ -310,6 +324,8 @@
 	if cut > 3 {
 		h.report("LOST", "%d executed requests had their responses cut off without a disturbance", cut)
 	}
+	h.checkWithdrawals()
+	h.checkDenied()
 	for _, violation := range h.site.group.Violations() {
 		h.report("MAP", "%s", violation)
 	}
--- a/internal/soak/planned_test.go
+++ b/internal/soak/planned_test.go
@@ -34,7 +34,7 @@
 // process that stops.
 func fullLengthSpec() siteSpec {
 	return siteSpec{
-		entries: 7, ranks: 12, slots: 12, pause: 100 * time.Millisecond, period: 100 * time.Millisecond, stride: 5,
+		entries: 7, ranks: 12, plainZone: "a", slots: 12, pause: 100 * time.Millisecond, period: 100 * time.Millisecond, stride: 5,
 		timeout: 8 * time.Second, addressTTL: 2 * time.Second,
 	}
 }
--- a/internal/soak/plant_test.go
+++ b/internal/soak/plant_test.go
@@ -19,6 +19,7 @@
 	"order":   "ORDER",
 	"config":  "CONFIG",
 	"lost":    "LOST",
+	"drain":   "DRAIN",
 	"map":     "MAP",
 	"recover": "RECOVER",
 }
@@ -49,9 +50,15 @@
 		// Claims that a version was acknowledged a minute ago that was never written.
 		r.site.writes.mu.Lock()
 		r.site.writes.version++
-		r.site.writes.acked["op/config"] = time.Now().Add(-time.Minute)
+		r.site.writes.acked["op/config"] = ack{at: time.Now().Add(-time.Minute)}
 		r.site.writes.mu.Unlock()
 		time.Sleep(500 * time.Millisecond)
+	case "drain":
+		// Claims that a replica that stays registered has left a minute ago.
+		r.site.writes.mu.Lock()
+		r.site.writes.acked["servers/gone"] = ack{at: time.Now().Add(-time.Minute)}
+		r.site.writes.mu.Unlock()
+		r.site.withdraw("DRAIN", "servers/gone", drainBound, r.site.plainsIn("a")...)
 	case "map":
 		// Sends a rank an order that no leader issued.
 		body := fmt.Sprintf(`{"op":"prepare","version":%d,"epoch":1,"map":%s}`, 1<<40, skewedExpertMap())
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -37,6 +37,8 @@
 // siteSpec is the shape of a site.
 type siteSpec struct {
 	entries, ranks int
+	// plainZone is the zone of the plain replicas. All others are in zone a.
+	plainZone string
 	// slots is the number of requests that each replica runs.
 	slots int
 	// pause is the time between the events of a stream, and period that between passes.
@@ -51,7 +53,7 @@
 // defaultSpec returns the shape of a site in which faults come close together.
 func defaultSpec() siteSpec {
 	return siteSpec{
-		entries: *entries, ranks: ranks, slots: 8, pause: eventPause, period: 40 * time.Millisecond, timeout: 3 * time.Second, addressTTL: time.Second,
+		entries: *entries, ranks: ranks, plainZone: "a", slots: 8, pause: eventPause, period: 40 * time.Millisecond, timeout: 3 * time.Second, addressTTL: time.Second,
 	}
 }
 
@@ -69,10 +71,10 @@
 
 	mu sync.Mutex
 	// disturbed is when a fault last affected the daemon, stopped when it last
-	// received SIGTERM.
-	disturbed, stopped time.Time
-	busy               bool
-	startCount         int
+	// received SIGTERM, started when it last listened after a start.
+	disturbed, stopped, started time.Time
+	busy                        bool
+	startCount                  int
 }
 
 // tryAcquire reserves the daemon for one fault and reports whether it was available.
@@ -120,6 +122,18 @@
 	defer d.mu.Unlock()
 	d.process = process
 	d.startCount++
+	d.started = time.Now()
+}
+
+// inTouchSince returns since when the daemon runs without a disturbance, and false while it is
+// stopping.
+func (d *daemon) inTouchSince() (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.started.After(d.disturbed) {
+		return d.started, !d.stopped.After(d.started)
+	}
+	return d.disturbed, !d.stopped.After(d.started)
 }
 
 func (d *daemon) current() *procs.Process {
@@ -132,9 +146,9 @@
 
 // plain is a replica of the plain service behind a relay.
 type plain struct {
-	id      string
-	replica *fakes.Replica
-	relay   *relay
+	id, zone string
+	replica  *fakes.Replica
+	relay    *relay
 }
 
 // site is a fake platform with the daemons that run on it.
@@ -159,6 +173,8 @@
 	plains   []*plain
 	replicas []*fakes.Replica
 	started  int
+	// withdrawals are the replicas that may get no more requests.
+	withdrawals []withdrawal
 	// replicasDisturbed is when a fault last affected replicas or their links,
 	// storeDisturbed the store.
 	replicasDisturbed, storeDisturbed time.Time
@@ -202,7 +218,7 @@
 	peer := port + 4
 	s.startRanks(network, port, peer)
 	for range plainReplicas {
-		s.addPlain()
+		s.addPlain(spec.plainZone)
 	}
 	s.writeNextConfig()
 	for i := range spec.entries {
@@ -277,8 +293,13 @@
 }
 
 func (s *site) register(id, service, address string) {
+	s.registerForm(id, service, address, "a", "ready", 0)
+}
+
+// registerForm writes the record of a replica with a state and a sequence.
+func (s *site) registerForm(id, service, address, zone, state string, sequence int) {
 	s.put("servers/"+id, map[string]any{
-		"service": service, "address": address, "zone": "a", "slots": s.spec.slots, "state": "ready", "coldLeftMs": 0, "version": "v1", "sequence": 0, "born": 1,
+		"service": service, "address": address, "zone": zone, "slots": s.spec.slots, "state": state, "coldLeftMs": 0, "version": "v1", "sequence": sequence, "born": 1,
 	})
 }
 
@@ -293,38 +314,46 @@
 	require.NoError(s.t, s.writes.commit(write{key: key, value: encoded, version: version}))
 }
 
-// addPlain starts a plain replica behind a relay and registers it.
-func (s *site) addPlain() {
+func (s *site) remove(key string) { require.NoError(s.t, s.writes.commit(write{key: key})) }
+
+// addPlain starts a plain replica in a zone behind a relay and registers it.
+func (s *site) addPlain(zone string) {
 	s.mu.Lock()
 	s.started++
 	id := fmt.Sprintf("plain-%d", s.started)
 	s.mu.Unlock()
-	p := &plain{id: id, replica: s.newReplica(id)}
+	p := &plain{id: id, zone: zone, replica: s.newReplica(id)}
 	p.relay = newRelay(s.t, p.replica.Address())
 	s.mu.Lock()
 	s.plains = append(s.plains, p)
 	s.mu.Unlock()
-	s.register(id, "plain", p.relay.address())
+	s.registerForm(id, "plain", p.relay.address(), zone, "ready", 0)
 }
 
-// replacePlain closes a plain replica without draining it and starts another.
-func (s *site) replacePlain(random *rand.Rand) {
+// takePlain removes a random plain replica from those that are in use, and returns nil if there
+// is none.
+func (s *site) takePlain(random *rand.Rand) *plain {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if len(s.plains) == 0 {
-		s.mu.Unlock()
-		return
+		return nil
 	}
 	at := random.IntN(len(s.plains))
 	p := s.plains[at]
 	s.plains = append(s.plains[:at:at], s.plains[at+1:]...)
-	s.mu.Unlock()
+	return p
+}
+
+// replacePlain closes a plain replica without draining it and starts another.
+func (s *site) replacePlain(random *rand.Rand) {
+	p := s.takePlain(random)
+	if p == nil {
+		return
+	}
 	p.replica.Close()
 	p.relay.reset()
-	var txn stand.Txn
-	txn.Remove("servers/" + p.id)
-	_, err := s.kv.Commit(txn)
-	require.NoError(s.t, err)
-	s.addPlain()
+	s.remove("servers/" + p.id)
+	s.addPlain(p.zone)
 }
 
 // writeNextConfig writes the next configuration version, with an API key that only
@@ -332,7 +361,7 @@
 func (s *site) writeNextConfig() {
 	s.configs.Lock()
 	defer s.configs.Unlock()
-	latest, _ := s.writes.latestVersion()
+	latest, _, _ := s.writes.latestVersion()
 	version := latest + 1
 	route := func(prefix, kind, service string, attempts int, resume bool) map[string]any {
 		return map[string]any{
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -66,7 +66,9 @@
 	plantedFault string
 	// plannedOnly limits the run to stops, reloads and configuration changes, which
 	// don't excuse a lost response.
-	plannedOnly  bool
+	plannedOnly bool
+	// entriesOnly limits pauses, kills, stops and reloads to entries.
+	entriesOnly  bool
 	store        sync.Mutex
 	activeFaults sync.WaitGroup
 }
@@ -87,7 +89,14 @@
 		clients.Go(func() { r.history.probeConfig(ctx, e) })
 	}
 	time.Sleep(time.Second)
-	r.injectFaults(time.Duration(*seconds) * time.Second)
+	faults := []func(*rand.Rand){
+		r.pause, r.pause, r.kill, r.stop, r.stop, r.reload, r.faultStoreLink, r.faultStoreLink, r.faultStore,
+		r.faultReplicaLink, r.replaceReplica, r.addReplicaFaults, r.addReplicaFaults, r.changeConfig, r.changeConfig, r.dropOrderResponses,
+	}
+	if r.plannedOnly {
+		faults = []func(*rand.Rand){r.stop, r.stop, r.reload, r.changeConfig}
+	}
+	r.injectFaults(faults, time.Duration(*seconds)*time.Second)
 	if plantedFault == "recover" {
 		r.injectPlantedFault()
 	}
@@ -126,14 +135,7 @@
 
 // injectFaults starts random faults at random intervals, so that they overlap, and
 // waits until all have ended.
-func (r *run) injectFaults(duration time.Duration) {
-	faults := []func(*rand.Rand){
-		r.pause, r.pause, r.kill, r.stop, r.stop, r.reload, r.faultStoreLink, r.faultStoreLink, r.faultStore,
-		r.faultReplicaLink, r.replaceReplica, r.addReplicaFaults, r.addReplicaFaults, r.changeConfig, r.changeConfig, r.dropOrderResponses,
-	}
-	if r.plannedOnly {
-		faults = []func(*rand.Rand){r.stop, r.stop, r.reload, r.changeConfig}
-	}
+func (r *run) injectFaults(faults []func(*rand.Rand), duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		fault := faults[r.random.IntN(len(faults))]
 		random := rand.New(rand.NewPCG(r.random.Uint64(), 0))
@@ -156,6 +158,14 @@
 	return randomDuration(random, 200*time.Millisecond, 2500*time.Millisecond)
 }
 
+// targets returns the daemons that pauses, kills, stops and reloads affect.
+func (r *run) targets() []*daemon {
+	if r.entriesOnly {
+		return r.site.entries
+	}
+	return r.site.daemons()
+}
+
 // acquireRandomDaemon reserves a random daemon, and returns nil if another fault
 // uses that one.
 func (r *run) acquireRandomDaemon(random *rand.Rand, among []*daemon) *daemon {
@@ -166,7 +176,7 @@
 }
 
 func (r *run) pause(random *rand.Rand) {
-	d := r.acquireRandomDaemon(random, r.site.daemons())
+	d := r.acquireRandomDaemon(random, r.targets())
 	if d == nil {
 		return
 	}
@@ -182,7 +192,7 @@
 }
 
 func (r *run) kill(random *rand.Rand) {
-	d := r.acquireRandomDaemon(random, r.site.daemons())
+	d := r.acquireRandomDaemon(random, r.targets())
 	if d == nil {
 		return
 	}
@@ -197,7 +207,7 @@
 // stop restarts one or two daemons in sequence, by SIGTERM.
 func (r *run) stop(random *rand.Rand) {
 	for range 1 + random.IntN(2) {
-		d := r.acquireRandomDaemon(random, r.site.daemons())
+		d := r.acquireRandomDaemon(random, r.targets())
 		if d == nil {
 			return
 		}
@@ -220,7 +230,7 @@
 }
 
 func (r *run) reload(random *rand.Rand) {
-	if d := r.acquireRandomDaemon(random, r.site.daemons()); d != nil {
+	if d := r.acquireRandomDaemon(random, r.targets()); d != nil {
 		defer d.release()
 		d.signal(syscall.SIGHUP)
 	}
