--- a/pkg/fresh/fresh_test.go
+++ b/pkg/fresh/fresh_test.go
@@ -71,3 +71,41 @@
 	tracker.Confirm(store.At(0, 0), fresh.Seen(now))
 	require.Equal(t, limit, tracker.AskIn(now, limit, retry))
 }
+
+// TestEvidenceOfOtherEraSaysNothing guards against a copy that counts as current by evidence of another era,
+// in which the same revision is another state.
+func TestEvidenceOfOtherEraSaysNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	at := func(seconds int) fresh.Evidence { return fresh.Seen(now.Add(time.Duration(seconds) * time.Second)) }
+	tracker := fresh.New(0)
+	tracker.Advance(store.At(2, 5))
+	require.True(t, tracker.Confirm(store.At(2, 5), at(0)))
+	for _, earlier := range []store.Position{store.At(0, 9), store.At(1, 5), store.At(1, 100)} {
+		require.False(t, tracker.Confirm(earlier, at(1)))
+	}
+	for _, later := range []store.Position{store.At(3, 1), store.At(3, 5), store.At(3, 4)} {
+		require.False(t, tracker.Confirm(later, at(2)))
+	}
+	require.Equal(t, at(0), tracker.Latest())
+	tracker.Advance(store.At(2, 100))
+	require.Equal(t, at(0), tracker.Latest(), "the copy is of the earlier era")
+	require.True(t, tracker.Confirm(store.At(2, 100), at(1)))
+	tracker.Advance(store.At(3, 4))
+	require.Equal(t, at(1), tracker.Latest(), "the copy lacks a revision of the era")
+	tracker.Advance(store.At(2, 200))
+	require.False(t, tracker.Confirm(store.At(2, 200), at(3)), "the copy doesn't go back")
+	tracker.Advance(store.At(3, 5))
+	require.Equal(t, at(2), tracker.Latest())
+}
+
+// TestEvidenceOfSkippedEraIsDropped guards against pending evidence that counts once the copy is in an even
+// later era.
+func TestEvidenceOfSkippedEraIsDropped(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := fresh.New(0)
+	tracker.Advance(store.At(1, 9))
+	require.False(t, tracker.Confirm(store.At(2, 4), fresh.Seen(now)))
+	tracker.Advance(store.At(3, 2))
+	require.True(t, tracker.Latest().At().IsZero())
+	require.True(t, tracker.Confirm(store.At(3, 2), fresh.Seen(now.Add(-time.Second))))
+}
