pkg/mirror, internal/edge: peers tell which held keys were removed after a recovery

An entry that was frozen, or cut off from all, during a recovery of the store kept an evacuation that was in the copy and was ended after the recovery, for up to 60 s, and refused requests that only the data centre's endpoints could serve, though its peers had seen the removal.

An entry tells a peer that is in an earlier era, or that says in its ask that it holds anything, all removals of the era that it remembers. What the peer holds of these it lets go of. An entry that holds what a peer doesn't asks that peer too, once for each pair of fingerprints; before, only what the peer holds counted.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -325,11 +325,13 @@
 	case isNewer:
 		return
 	}
-	gained := update.position.Era() == s.state.Position().Era() && s.state.MergeHeld(update.held, now)
+	isSameEra := update.position.Era() == s.state.Position().Era()
+	dropped := isSameEra && s.state.DropHeld(update.changes, now, s.expiryGraceUntil)
+	gained := isSameEra && s.state.MergeHeld(update.held, now)
 	if gained {
 		event.LostStateLearned.Log(s.entry.logger, zap.String("peer", peer), zap.Uint64("era", update.position.Era()), zap.Int("keys", len(update.held)))
 	}
-	if !isNewer && !gained {
+	if !isNewer && !gained && !dropped {
 		return
 	}
 	s.publish(peer)
@@ -422,8 +424,9 @@
 	}
 }
 
-// updateSince returns what a peer at a position is missing.
-func (s *storeSyncer) updateSince(position store.Position) stateUpdate {
+// updateSince returns what a peer at a position is missing. Holds is set if the peer holds what the
+// store has lost.
+func (s *storeSyncer) updateSince(position store.Position, holds bool) stateUpdate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	update := stateUpdate{position: s.state.Position(), held: s.state.Held()}
@@ -433,6 +436,9 @@
 	if !update.partial {
 		update.pairs = s.state.Pairs()
 	}
+	if holds || position.Era() != update.position.Era() {
+		update.changes = append(update.changes, s.state.Removals()...)
+	}
 	return update
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -81,10 +81,10 @@
 	aheadSince     time.Time
 	newestPeer     string
 	newestAddress  netip.AddrPort
-	// holder is a peer that holds what this entry may lack, and mergedHeld identifies what
-	// peers hold that was fetched already, by the era.
+	// holder is a peer that holds other things than this entry, and mergedHeld identifies what
+	// the two hold of which that was fetched already, in an era.
 	holder     holder
-	mergedHeld map[uint64]bool
+	mergedHeld map[heldPair]bool
 	mergedEra  uint64
 	targets    roundRobin
 	guests     guests
@@ -92,14 +92,17 @@
 	wake chan struct{}
 }
 
-// holder is a peer and the fingerprint of what it holds that the store has lost. The zero value is
+// holder is a peer, and what it and this entry hold that the store has lost. The zero value is
 // nobody.
 type holder struct {
-	name        string
-	address     netip.AddrPort
-	fingerprint uint64
+	name    string
+	address netip.AddrPort
+	held    heldPair
 }
 
+// heldPair is the fingerprints of what this entry and a peer hold.
+type heldPair struct{ own, peer uint64 }
+
 // stateUpdate is what an entry has read from the store: the changes since the revision
 // that another entry knows if partial is set, otherwise all pairs. The wire
 // format calls it a picture. Held is what the entry knows from earlier eras beside it.
@@ -463,7 +466,7 @@
 		delete(p.leaving, hello.GetName())
 	}
 	p.guests.hear(p.entry.view.Load(), from, hello.GetLeaving(), now)
-	isHolder := p.noteHolder(holder{name: hello.GetName(), address: from, fingerprint: hello.GetHeld()}, position, known, held)
+	isHolder := p.noteHolder(holder{name: hello.GetName(), address: from, held: heldPair{own: held, peer: hello.GetHeld()}}, position, known)
 	isAhead := position.After(known)
 	if isAhead && !p.newestPosition.After(known) {
 		p.aheadSince = now
@@ -480,13 +483,14 @@
 	}
 }
 
-// noteHolder records a peer that holds, in the era of this entry, what this entry may lack. It reports
-// whether the peer is one. The caller holds p.mu.
-func (p *peers) noteHolder(peer holder, position, known store.Position, held uint64) bool {
+// noteHolder records a peer that holds, in the era of this entry, other things than this entry: it may
+// know what this entry lacks, or that the store has removed what this entry holds. It reports whether
+// the peer is one. The caller holds p.mu.
+func (p *peers) noteHolder(peer holder, position, known store.Position) bool {
 	if p.mergedHeld == nil || p.mergedEra != known.Era() {
-		p.mergedHeld, p.mergedEra, p.holder = make(map[uint64]bool), known.Era(), holder{}
+		p.mergedHeld, p.mergedEra, p.holder = make(map[heldPair]bool), known.Era(), holder{}
 	}
-	if peer.fingerprint == 0 || peer.fingerprint == held || position.Era() != known.Era() || p.mergedHeld[peer.fingerprint] {
+	if peer.held.own == peer.held.peer || position.Era() != known.Era() || p.mergedHeld[peer.held] {
 		return false
 	}
 	p.holder = peer
@@ -505,7 +509,7 @@
 	name, address := p.newestPeer, p.newestAddress
 	peer := p.holder
 	p.holder = holder{}
-	if !isDue && peer.fingerprint != 0 {
+	if !isDue && peer.address.IsValid() {
 		name, address, isDue = peer.name, peer.address, true
 	}
 	p.mu.Unlock()
@@ -524,12 +528,12 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if len(p.mergedHeld) < maxMergedHeld {
-			p.mergedHeld[peer.fingerprint] = true
+			p.mergedHeld[peer.held] = true
 		}
 	}
 }
 
-// maxMergedHeld limits the fingerprints that an entry keeps in an era.
+// maxMergedHeld limits the pairs of fingerprints that an entry keeps in an era.
 const maxMergedHeld = 4096
 
 // fetch requests what the entry at address has read since a known position.
@@ -545,7 +549,9 @@
 	if err != nil {
 		return stateUpdate{}, err
 	}
-	request := &wirepb.Frame{Body: &wirepb.Frame_PictureAsk{PictureAsk: &wirepb.PictureAsk{Revision: known.Revision(), Era: known.Era()}}}
+	request := &wirepb.Frame{Body: &wirepb.Frame_PictureAsk{PictureAsk: &wirepb.PictureAsk{
+		Revision: known.Revision(), Era: known.Era(), Held: p.entry.storeSyncer.heldFingerprint(),
+	}}}
 	if err := stream.Write(request); err != nil {
 		return stateUpdate{}, err
 	}
@@ -597,7 +603,7 @@
 		return
 	}
 	ask := first.GetPictureAsk()
-	update := p.entry.storeSyncer.updateSince(store.At(ask.GetEra(), ask.GetRevision()))
+	update := p.entry.storeSyncer.updateSince(store.At(ask.GetEra(), ask.GetRevision()), ask.GetHeld() != 0)
 	picture := &wirepb.Picture{
 		Revision: update.position.Revision(), Era: update.position.Era(), Partial: update.partial, Held: encodeHeld(update.held),
 	}
--- a/internal/edge/relayed_recovery_test.go
+++ b/internal/edge/relayed_recovery_test.go
@@ -396,3 +396,52 @@
 	s.configure([]string{"key-3"}, defaultRoutes...)
 	s.requireObeyed("key-3", "key-1", others...)
 }
+
+// TestEntryFrozenDuringStoreRecoveryIsCurrent guards against an entry that keeps using for long what was
+// removed after a recovery that it has missed: it can't tell that from what the copy lacks.
+func TestEntryFrozenDuringStoreRecoveryIsCurrent(t *testing.T) {
+	faults := map[string]fakes.StoreFaults{"store answers": {}, "store doesn't answer": {Down: true, Only: []string{"entry-3"}}}
+	for _, removed := range []string{"servers/i-1", "op/evacuate/gmunden"} {
+		for name, fault := range faults {
+			t.Run(removed+", "+name, func(t *testing.T) {
+				t.Parallel()
+				s := startPair(t, "i-1")
+				isEndpoint := removed == "servers/i-1"
+				if isEndpoint {
+					s.startReplica("i-2", "gmunden")
+				} else {
+					s.startReplica("i-2", "ebensee")
+					s.write(removed, "{}")
+				}
+				s.startEntry("entry-3")
+				s.waitReady(2)
+				s.advance()
+				backup := s.kv.Backup()
+				s.advance()
+				s.entries[2].Freeze()
+				s.recoverStore(backup, stand.KeepLeases)
+				time.Sleep(contactSpan)
+				s.configure([]string{"key-2"}, defaultRoutes...)
+				if isEndpoint {
+					s.registerForm("i-1", "draining", 1)
+				}
+				s.remove(removed)
+				time.Sleep(drainLimit)
+				s.store.SetFaults(fault)
+				s.answerAtEnd()
+				require.NoError(t, s.entries[2].Thaw())
+				time.Sleep(contactSpan)
+				require.True(t, s.obeys(2, "key-2", "key-1"))
+				used := "i-2"
+				if !isEndpoint {
+					used = "i-1"
+					s.register("i-2", "ebensee", "draining")
+					time.Sleep(drainLimit)
+				}
+				require.Equal(t, map[string]int{used: 20}, s.servedWith("key-2", 2, 20))
+				s.configure([]string{"key-3"}, defaultRoutes...)
+				s.requireObeyed("key-3", "key-2", 0, 1, 2)
+			})
+		}
+	}
+}
--- a/pkg/mirror/hold.go
+++ b/pkg/mirror/hold.go
@@ -337,6 +337,36 @@
 	return held
 }
 
+// Removals returns the keys that were removed in the latest era, as input for a peer that may hold
+// them.
+func (s *State) Removals() []store.Change {
+	var removals []store.Change
+	for key, removed := range s.tombstones {
+		if removed.held == nil && removed.position.Era() == s.position.Era() {
+			removals = append(removals, store.Removed(key, removed.position.Revision()))
+		}
+	}
+	return removals
+}
+
+// DropHeld removes the keys that the state holds and of which a peer in the same era has seen the
+// removal: the store hasn't lost them by its recovery. Others among the changes are ignored. It
+// reports whether anything changed. Members and endpoints stay until graceUntil, as in Replace.
+func (s *State) DropHeld(changes []store.Change, now, graceUntil time.Time) bool {
+	s.now = now
+	changed := false
+	for _, change := range changes {
+		if key := change.Pair().Key(); change.IsRemoved() && s.records[key].held != nil {
+			s.remove(key, change.Pair().Revision(), graceUntil)
+			changed = true
+		}
+	}
+	if changed {
+		s.publish(s.current.confirmed)
+	}
+	return changed
+}
+
 // HeldFingerprint identifies what the state has held in the latest era, zero if it holds nothing any
 // more. Of two states with the same fingerprint none can learn from the other what the store has
 // lost. It doesn't change as holds end, which happens at other moments in each process.
