--- a/pkg/mirror/hold.go
+++ b/pkg/mirror/hold.go
@@ -146,7 +146,7 @@
 }
 
 // beginEra records that the store has recovered from a copy. Holds of earlier eras keep their end.
-func (s *State) beginEra(snapshot store.Snapshot) {
+func (s *State) beginEra() {
 	since := s.now.Sub(s.eraKnownSince)
 	shift := func(h *hold) *hold {
 		if h == nil || h.span == 0 {
@@ -162,45 +162,12 @@
 		removed.held = shift(removed.held)
 		s.tombstones[key] = removed
 	}
-	s.eraKnownSince, s.copied = s.now, s.copiedRevision(snapshot)
-	s.compacted = 0
+	s.eraKnownSince, s.compacted = s.now, 0
 	clear(s.released)
 	clear(s.heldOnce)
 	s.fingerprint = 0
 }
 
-// copiedRevision returns a revision of the previous era that the copy has reached: that of the
-// newest endpoint or member that the snapshot shows just as it was known. Their owners don't write
-// the same again: records of endpoints are numbered, and members register with a new value.
-func (s *State) copiedRevision(snapshot store.Snapshot) uint64 {
-	copied := uint64(0)
-	for _, pair := range snapshot.Pairs() {
-		known, ok := s.records[pair.Key()]
-		if !ok || !s.isOfEra(known, s.position.Era()) || !hasOwner(known.value) {
-			continue
-		}
-		if known.pair.Revision() == pair.Revision() && bytes.Equal(known.pair.Value(), pair.Value()) {
-			copied = max(copied, pair.Revision())
-		}
-	}
-	return copied
-}
-
-// isOfEra reports whether a record is what the store showed last in an era.
-func (s *State) isOfEra(rec record, era uint64) bool {
-	return rec.era == era && rec.held == nil && rec.expires.IsZero()
-}
-
-// hasOwner reports whether a value is written by a process that runs: an endpoint or a member.
-func hasOwner(value any) bool {
-	switch value.(type) {
-	case *table.Endpoint, table.Member:
-		return true
-	default:
-		return false
-	}
-}
-
 // NoteEraAge records that a peer has known the latest era for a time, so that a process that was away
 // doesn't hold on to what is long settled.
 func (s *State) NoteEraAge(age time.Duration, now time.Time) {
@@ -226,13 +193,10 @@
 }
 
 // miss handles a key that a snapshot lacks. If the snapshot is the first of its era, the copy from
-// which the store recovered may lack it, unless the copy is newer than the key: then it was removed
-// after the recovery. Previous is the era before.
-func (s *State) miss(key string, previous uint64, firstRead bool, graceUntil time.Time) {
+// which the store recovered may lack it.
+func (s *State) miss(key string, firstRead bool, graceUntil time.Time) {
 	known := s.records[key]
 	switch {
-	case firstRead && hasOwner(known.value) && s.isOfEra(known, previous) && known.pair.Revision() <= s.copied:
-		s.remove(key, s.position.Revision(), graceUntil)
 	case known.era == s.position.Era() || known.held != nil && known.held.isShown() && !firstRead:
 		s.remove(key, s.position.Revision(), graceUntil)
 	case known.held != nil && !firstRead || !known.expires.IsZero():
@@ -362,6 +326,36 @@
 	}
 }
 
+// Removals returns the keys that were removed in the latest era, as input for a peer that may hold
+// them.
+func (s *State) Removals() []store.Change {
+	var removals []store.Change
+	for key, removed := range s.tombstones {
+		if removed.held == nil && removed.position.Era() == s.position.Era() {
+			removals = append(removals, store.Removed(key, removed.position.Revision()))
+		}
+	}
+	return removals
+}
+
+// DropHeld removes the keys that the state holds and of which a peer in the same era has seen the
+// removal: the store hasn't lost them by its recovery. Others among the changes are ignored. It
+// reports whether anything changed. Members and endpoints stay until graceUntil, as in Replace.
+func (s *State) DropHeld(changes []store.Change, now, graceUntil time.Time) bool {
+	s.now = now
+	changed := false
+	for _, change := range changes {
+		if key := change.Pair().Key(); change.IsRemoved() && s.records[key].held != nil {
+			s.remove(key, change.Pair().Revision(), graceUntil)
+			changed = true
+		}
+	}
+	if changed {
+		s.publish(s.current.confirmed)
+	}
+	return changed
+}
+
 // HeldFingerprint identifies what peers may have to know of earlier eras, and had to know since the
 // latest one began, zero if there is nothing any more. Of two states with the same fingerprint none
 // can learn from the other what the store has lost. It doesn't change as holds end, which happens at
