pkg/mirror: holds end alike in all processes that know the era

The random model showed that two processes which had told each other all held different keys: a hold that was carried over a second recovery, or taken from a peer, ended by the clock of whoever knew the era later, and hearing how old the era is shortened a hold that had its end already. A hold now ends at the span of its kind after the era was first known, or at the end that it had before, whichever is earlier.

--- a/pkg/mirror/hold.go
+++ b/pkg/mirror/hold.go
@@ -33,8 +33,10 @@
 type hold struct {
 	// shown is what the store has, the zero pair if it doesn't have the key.
 	shown store.Pair
-	// span is how long after eraKnownSince the hold ends, zero if it has no end.
-	span time.Duration
+	// span is how long after eraKnownSince the hold ends at the latest, zero if it has no end, and
+	// until when it ends if that is earlier, since it is of an earlier era or a peer's.
+	span  time.Duration
+	until time.Time
 }
 
 // isShown reports whether the store has the key.
@@ -95,22 +97,33 @@
 	return cmp.Or(a.Start().Compare(b.Start()), cmp.Compare(a.Sequence(), b.Sequence()))
 }
 
-// keep holds on to a record of which the store shows another form, or none if shown is the zero
-// pair.
-func (s *State) keep(known record, shown store.Pair) {
-	h := hold{shown: shown, span: operatorHold}
-	switch value := known.value.(type) {
+// spanOf returns how long the last known state of a key is held, zero if that has no end.
+func spanOf(last any, isRemoved, isShown bool) time.Duration {
+	switch value := last.(type) {
 	case *table.Table:
-		h.span = 0
+		return 0
 	case *table.Endpoint:
-		if !value.Draining() && !h.isShown() {
-			h.span = endpointHold
+		switch {
+		case value.Draining():
+			return operatorHold
+		case isRemoved:
+			return removalHold
+		case !isShown:
+			return endpointHold
 		}
 	case table.Member:
-		h.span = ExpiryGrace
+		return ExpiryGrace
 	}
+	return operatorHold
+}
+
+// keep holds on to a record of which the store shows another form, or none if shown is the zero
+// pair.
+func (s *State) keep(known record, shown store.Pair) {
+	h := hold{shown: shown}
+	h.span = spanOf(known.value, false, h.isShown())
 	if known.held != nil {
-		h.span = known.held.span
+		h.span, h.until = known.held.span, known.held.until
 	}
 	known.held = &h
 	s.records[known.pair.Key()] = known
@@ -119,21 +132,25 @@
 
 // keepRemoved holds on to the removal of a key though the store shows it.
 func (s *State) keepRemoved(key string, removed tombstone, shown store.Pair) {
-	h := hold{shown: shown, span: operatorHold}
-	if endpoint, ok := removed.last.value.(*table.Endpoint); ok && !endpoint.Draining() {
-		h.span = removalHold
-	}
+	h := hold{shown: shown, span: spanOf(removed.last.value, true, true)}
 	if removed.held != nil {
-		h.span = removed.held.span
+		h.span, h.until = removed.held.span, removed.held.until
 	}
 	removed.held = &h
 	s.tombstones[key] = removed
 	s.noteHeld(key, removed.position)
 }
 
-// left returns the time for which a hold lasts, and whether it has an end.
-func (s *State) left(h *hold) (time.Duration, bool) {
-	return s.eraKnownSince.Add(h.span).Sub(s.now), h.span > 0
+// end returns the end of a hold, zero if it has none.
+func (s *State) end(h *hold) time.Time {
+	if h.span == 0 {
+		return time.Time{}
+	}
+	end := s.eraKnownSince.Add(h.span)
+	if !h.until.IsZero() && h.until.Before(end) {
+		return h.until
+	}
+	return end
 }
 
 // isOver reports whether a hold has ended.
@@ -141,25 +158,24 @@
 	if h == nil {
 		return false
 	}
-	left, hasEnd := s.left(h)
-	return hasEnd && left < 0
+	end := s.end(h)
+	return !end.IsZero() && !s.now.Before(end)
 }
 
 // beginEra records that the store has recovered from a copy. Holds of earlier eras keep their end.
 func (s *State) beginEra() {
-	since := s.now.Sub(s.eraKnownSince)
-	shift := func(h *hold) *hold {
-		if h == nil || h.span == 0 {
-			return h
+	keepEnd := func(h *hold) *hold {
+		if h == nil {
+			return nil
 		}
-		return &hold{shown: h.shown, span: max(1, h.span-since)}
+		return &hold{shown: h.shown, span: h.span, until: s.end(h)}
 	}
 	for key, rec := range s.records {
-		rec.held = shift(rec.held)
+		rec.held = keepEnd(rec.held)
 		s.records[key] = rec
 	}
 	for key, removed := range s.tombstones {
-		removed.held = shift(removed.held)
+		removed.held = keepEnd(removed.held)
 		s.tombstones[key] = removed
 	}
 	s.eraKnownSince, s.compacted = s.now, 0
@@ -288,11 +304,11 @@
 func (s *State) Held() []Held {
 	var held []Held
 	left := func(h *hold) time.Duration {
-		left, hasEnd := s.left(h)
-		if !hasEnd {
+		end := s.end(h)
+		if end.IsZero() {
 			return 0
 		}
-		return max(time.Millisecond, left)
+		return max(time.Millisecond, end.Sub(s.now))
 	}
 	for _, rec := range s.records {
 		if rec.held != nil {
@@ -421,7 +437,7 @@
 	}
 	h := &hold{shown: shown}
 	if item.left > 0 {
-		h.span = max(1, min(s.now.Sub(s.eraKnownSince)+item.left, operatorHold))
+		h.span, h.until = spanOf(value, item.removed, h.isShown()), s.now.Add(item.left)
 	}
 	if s.isOver(h) {
 		return false
@@ -430,7 +446,7 @@
 	if item.removed {
 		removed := tombstone{position: item.position, at: s.now, last: last, held: h}
 		if !h.isShown() {
-			removed.held, removed.at = nil, s.eraKnownSince.Add(h.span-tombstoneRetention)
+			removed.held, removed.at = nil, s.end(h).Add(-tombstoneRetention)
 		}
 		delete(s.records, key)
 		s.tombstones[key] = removed
