pkg/mirror, internal/edge: tests of recoveries allow what may be, and no more

pkg/mirror: processes that hear the age of an era during an exchange may let go of keys in it, which the random model noted only with the next operation ( of TestRecoveriesUndoNothing: one of two had let go of an endpoint that the copy lacked). 60,000 sequences pass.

internal/edge: three tests asked for some calls of ten in turn at one of two equal endpoints; all may go to the other one for seconds, as a run without any recovery showed. They now leave one endpoint in use and ask for all calls there.

--- a/internal/edge/recovery_test.go
+++ b/internal/edge/recovery_test.go
@@ -222,7 +222,9 @@
 			// The endpoint starts again under its ID.
 			s.write("servers/i-1", fmt.Sprintf(`{"service":"plain","address":%q,"zone":"gmunden","slots":8,"state":"ready","coldLeftMs":0,"version":"v1","sequence":0,"born":2}`,
 				s.replicas["i-1"].Address()))
-			require.Eventually(t, func() bool { return s.servedBy(0, 10)["i-1"] > 0 && s.servedBy(1, 10)["i-1"] > 0 }, drainLimit, 10*time.Millisecond)
+			s.registerForm("i-2", "draining", 1)
+			only := func(index int) bool { return s.servedBy(index, 10)["i-1"] == 10 }
+			require.Eventually(t, func() bool { return only(0) && only(1) }, drainLimit, 10*time.Millisecond)
 		})
 	}
 }
@@ -247,7 +249,9 @@
 	require.Eventually(t, avoids("i-1"), drainLimit, 10*time.Millisecond)
 	s.write("op/evacuate/ebensee", "{}")
 	s.remove("op/evacuate/ebensee")
-	require.Eventually(t, func() bool { return !avoids("i-2")() }, 2*drainLimit, 10*time.Millisecond)
+	s.write("op/evacuate/unterach", "{}")
+	only := func(index int) bool { return s.servedBy(index, 10)["i-2"] == 10 }
+	require.Eventually(t, func() bool { return only(0) && only(1) }, drainLimit, 10*time.Millisecond, "the evacuation that was ended")
 }
 
 // TestEndpointAfterStoreRecoveryIsUsed guards against a new endpoint that gets no requests, and
@@ -265,7 +269,10 @@
 	}
 	s.registerForm("i-1", "ready", 1)
 	s.startReplica("i-2", "gmunden")
-	require.Eventually(t, func() bool { return s.servedBy(0, 10)["i-2"] > 0 && s.servedBy(1, 10)["i-2"] > 0 }, drainLimit, 10*time.Millisecond)
+	s.registerForm("i-1", "draining", 2)
+	only := func(index int) bool { return s.servedBy(index, 10)["i-2"] == 10 }
+	require.Eventually(t, func() bool { return only(0) && only(1) }, drainLimit, 10*time.Millisecond, "the new endpoint")
+	s.registerForm("i-1", "ready", 3)
 	s.registerForm("i-2", "draining", 1)
 	time.Sleep(drainLimit)
 	for index := range s.entries {
--- a/pkg/mirror/recovery_model_test.go
+++ b/pkg/mirror/recovery_model_test.go
@@ -619,6 +619,9 @@
 	if own.position != peer.position {
 		return nil
 	}
+	// What they have heard about the age of the era may have ended holds.
+	own.forget(&s.store, s.clock)
+	peer.forget(&s.store, s.clock)
 	inGrace := !s.clock.After(own.graceUntil) || !s.clock.After(peer.graceUntil)
 	if text := difference(own, peer, s.store.at(own.position), inGrace); text != "" {
 		return fmt.Errorf("processes that told each other all at %v differ: %s", own.position, text)
