internal/edge: what an entry holds goes only to peers that may lack it

Found in review. While a configuration of some 1,400 routes was held, an update of one key had 277,459 bytes instead of 24, for each entry of a fleet that relays and each change of the store, until the operator had written the configuration again.

A peer that asks says the fingerprint of what it holds; with the same one it gets nothing of that. TestHeldConfigurationIsNotSentAgain fails without the change and passes with it.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -428,21 +428,25 @@
 	}
 }
 
-// updateSince returns what a peer at a position is missing. Holds is set if the peer holds what the
-// store has lost.
-func (s *storeSyncer) updateSince(position store.Position, holds bool) stateUpdate {
+// updateSince returns what a peer at a position is missing, which has a fingerprint of what it holds.
+// What the entry itself holds may be a large configuration, so it goes to peers only that may lack it.
+func (s *storeSyncer) updateSince(position store.Position, held uint64) stateUpdate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	update := stateUpdate{position: s.state.Position(), held: s.state.Held()}
-	if position.Era() == update.position.Era() {
+	update := stateUpdate{position: s.state.Position()}
+	isSameEra := position.Era() == update.position.Era()
+	if isSameEra {
 		update.changes, update.partial = s.state.ChangesSince(position.Revision())
 	}
 	if !update.partial {
 		update.pairs = s.state.Pairs()
 	}
-	if holds || position.Era() != update.position.Era() {
+	if held != 0 || !isSameEra {
 		update.changes = append(update.changes, s.state.Removals()...)
 	}
+	if !isSameEra || held != s.state.HeldFingerprint() {
+		update.held = s.state.Held()
+	}
 	return update
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -603,7 +603,7 @@
 		return
 	}
 	ask := first.GetPictureAsk()
-	update := p.entry.storeSyncer.updateSince(store.At(ask.GetEra(), ask.GetRevision()), ask.GetHeld() != 0)
+	update := p.entry.storeSyncer.updateSince(store.At(ask.GetEra(), ask.GetRevision()), ask.GetHeld())
 	picture := &wirepb.Picture{
 		Revision: update.position.Revision(), Era: update.position.Era(), Partial: update.partial, Held: encodeHeld(update.held),
 	}
--- a/internal/edge/relayed_recovery_test.go
+++ b/internal/edge/relayed_recovery_test.go
@@ -340,6 +340,31 @@
 	require.Positive(t, other.asks.Load())
 }
 
+// TestHeldConfigurationIsNotSentAgain guards against pictures that carry a large configuration with each
+// change, since the store has lost it.
+func TestHeldConfigurationIsNotSentAgain(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, "i-1")
+	backup := s.kv.Backup()
+	s.configure([]string{"key-2"}, defaultRoutes...)
+	s.advance()
+	s.requireObeyed("key-2", "key-1", 0)
+	s.recoverStore(backup, stand.KeepLeases)
+	var fingerprint atomic.Uint64
+	listener := s.startWirePeer(0, &wirepb.Hello{Name: "entry-9"}, &wirepb.Picture{})
+	require.Eventually(t, func() bool {
+		fingerprint.Store(listener.heard.Load().GetHeld())
+		return fingerprint.Load() != 0
+	}, contactSpan, 10*time.Millisecond)
+	position := s.kv.Read([]string{""}).Revision()
+	holds := func(held uint64) []*wirepb.HeldPair {
+		return s.askPicture(0, &wirepb.PictureAsk{Revision: position, Era: s.kv.Era(), Held: held}).GetHeld()
+	}
+	require.Empty(t, holds(fingerprint.Load()))
+	require.NotEmpty(t, holds(0))
+	require.NotEmpty(t, holds(fingerprint.Load()+1))
+}
+
 // TestLateRegistrationAfterStoreRecovery guards against an entry that isn't registered by a lease of
 // its own, and against harm to others' keys, since its first registration is carried out after the
 // recovery, when its lease is another's.
